Let routes have a host, a split, an objective and a priority; copy a numbered store

Cause: the users' platform speaks of things that the product had no notion of. Change: routes by host and longest path through an index, weighted splits, objective and priority in the queue, requests that are not idempotent and have no key, the platform's listing of a backend server, a rate in place of a ramp for a backend server that tells how long it is cold, retries bounded in any window, repeated runs charged to the budgets of the services that they call, and a replica of a store whose changes are numbered.

--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -1,6 +1,7 @@
 """Decides at the gate which requests run, wait or are refused."""
 
 import dataclasses
+import math
 import typing as t
 
 from .calls import Call
@@ -9,13 +10,23 @@
 from .exceptions import ErrorKind
 from .nodes import Limits
 from .nodes import RouteClass
+from .ramp import ColdRate
 from .ramp import Ramp
 
 MIXED_BULK_SHARE = 0.5
 SERVICE_TIME_SHARE = 0.1
+# What a caller is told after a wait that was in vain.
+RETRY_AFTER_MS = 200
+# Share of its time that a request that is late already may wait for a slot.
+LATE_WAIT_SHARE = 0.15
 
 # Classes that give way first when the queue is full come first.
-SHEDDING_ORDER = (RouteClass.BULK, RouteClass.IDEMPOTENT, RouteClass.AT_MOST_ONCE)
+SHEDDING_ORDER = (
+    RouteClass.BULK,
+    RouteClass.IDEMPOTENT,
+    RouteClass.NON_IDEMPOTENT,
+    RouteClass.AT_MOST_ONCE,
+)
 
 _RANK = {route_class: rank for rank, route_class in enumerate(SHEDDING_ORDER)}
 
@@ -65,7 +76,7 @@
 
     def __init__(self, limits: Limits, now_ms: float) -> None:
         self.limits = limits
-        self.ramp = Ramp(_most(limits), limits.ramp_ms, now_ms)
+        self.ramp = _ramp(limits, now_ms)
         self.draining = False
         self.domain_out = False
         self.bulk_share = MIXED_BULK_SHARE
@@ -79,7 +90,12 @@
             self.ramp.restart(now_ms)
         self.limits = limits
         self.domain_out = domain_out
-        self.ramp.resize(_most(limits), limits.ramp_ms)
+        match self.ramp:
+            case ColdRate():
+                per_s = limits.cold_requests_per_s or limits.slots
+                self.ramp.resize(_most(limits), per_s)
+            case Ramp():
+                self.ramp.resize(_most(limits), limits.ramp_ms)
 
     def load(self, now_ms: float) -> Load:
         """Returns what is told to entries with every answer."""
@@ -158,9 +174,14 @@
 
     def _enqueue(self, call: Call, now_ms: float) -> list[Verdict]:
         until_ms = min(call.deadline_ms, now_ms + self.limits.queue_timeout_ms)
-        if now_ms + self._expected_wait_ms(call, now_ms) >= until_ms:
+        wait_ms = self._expected_wait_ms(call, now_ms)
+        until_ms = min(until_ms, self._latest_start_ms(call, now_ms))
+        if now_ms + wait_ms >= until_ms:
             detail = "no slot is expected to become free in time"
-            return [Dropped(call, Refusal(self._full_kind(now_ms), detail))]
+            refusal = Refusal(
+                self._full_kind(now_ms), detail, retry_after_ms=round(wait_ms)
+            )
+            return [Dropped(call, refusal)]
         shed: list[Verdict] = []
         if len(self._queue) >= self.limits.queue_length:
             displaced = self._displaced_by(call)
@@ -173,25 +194,38 @@
         return [*shed, queued]
 
     def _displaced_by(self, call: Call) -> Queued | None:
-        rank = _RANK[call.route_class]
-        for route_class in SHEDDING_ORDER[:rank]:
-            for item in reversed(self._queue):
-                if item.call.route_class is route_class:
-                    return item
+        last = max(reversed(self._queue), key=_serving_order, default=None)
+        if last is not None and _urgency(last.call) > _urgency(call):
+            return last
         return None
 
     def _expected_wait_ms(self, call: Call, now_ms: float) -> float:
         if call.route_class is RouteClass.BULK:
             return 0.0
-        rank = _RANK[call.route_class]
-        ahead = sum(_RANK[item.call.route_class] >= rank for item in self._queue)
-        return ahead * self._service_ms / self.ramp.capacity(now_ms)
+        urgency = _urgency(call)
+        ahead = sum(_urgency(item.call) <= urgency for item in self._queue)
+        return self.ramp.wait_ms(ahead, self._service_ms, now_ms)
+
+    def _latest_start_ms(self, call: Call, now_ms: float) -> float:
+        """Returns when a request must start so that its answer is of full use.
+
+        One that is late already may take what room is left: half of the wait that
+        others are allowed.
+        """
+        if call.objective_ms == math.inf:
+            return math.inf
+        start_ms = call.objective_ms - self._service_ms
+        if start_ms > now_ms:
+            return start_ms
+        left_ms = call.deadline_ms - self._service_ms - now_ms
+        return now_ms + LATE_WAIT_SHARE * max(0.0, left_ms)
 
     def _learn(self, service_ms: float) -> None:
         self._service_ms += SERVICE_TIME_SHARE * (service_ms - self._service_ms)
 
     def _admit(self, call: Call, now_ms: float) -> Admitted:
         self._running[call.request_id] = _Running(call, now_ms)
+        self.ramp.admit(now_ms)
         return Admitted(call)
 
     def _has_room(self, call: Call, now_ms: float) -> bool:
@@ -213,16 +247,35 @@
         return None
 
     def _full(self, now_ms: float) -> Refusal:
-        return Refusal(self._full_kind(now_ms), "all slots and the queue are full")
+        wait_ms = self.ramp.wait_ms(len(self._queue), self._service_ms, now_ms)
+        return Refusal(
+            self._full_kind(now_ms),
+            "all slots and the queue are full",
+            retry_after_ms=round(wait_ms),
+        )
 
     def _full_kind(self, now_ms: float) -> ErrorKind:
         cold = self.ramp.is_cold(now_ms)
         return ErrorKind.COLD_START if cold else ErrorKind.OVERLOADED
 
 
-def _serving_order(item: Queued) -> int:
-    """Orders by class; within one, the queue's order stays."""
-    return -_RANK[item.call.route_class]
+def _serving_order(item: Queued) -> tuple[bool, int, int]:
+    """Orders by urgency; within one, the queue's order stays."""
+    return _urgency(item.call)
+
+
+def _urgency(call: Call) -> tuple[bool, int, int]:
+    """Returns a key that is smaller for requests that run first.
+
+    The parent of a nested request holds a slot until it is answered.
+    """
+    return not call.nested, call.priority, -_RANK[call.route_class]
+
+
+def _ramp(limits: Limits, now_ms: float) -> Ramp | ColdRate:
+    if limits.cold_requests_per_s is None:
+        return Ramp(_most(limits), limits.ramp_ms, now_ms)
+    return ColdRate(_most(limits), limits.cold_requests_per_s)
 
 
 def _most(limits: Limits) -> int:
@@ -232,4 +285,8 @@
 def _timed_out(item: Queued, now_ms: float) -> Refusal:
     if item.call.deadline_ms <= now_ms:
         return Refusal(ErrorKind.DEADLINE_NOT_RUN, "the deadline passed in the queue")
-    return Refusal(ErrorKind.QUEUE_TIMEOUT, "no slot became free in time")
+    return Refusal(
+        ErrorKind.QUEUE_TIMEOUT,
+        "no slot became free in time",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -1,9 +1,11 @@
 """The request as nodes see it, and the answers that a gate gives."""
 
 import dataclasses
+import math
 
 from .exceptions import ErrorKind
 from .nodes import HostRecord
+from .nodes import HostState
 from .nodes import RouteClass
 
 
@@ -24,6 +26,10 @@
         resend_window_ms: how long a keyed answer is kept.
         fingerprint: digest of method, path and body.
         fences: hosts that did not run the key and will not.
+        objective_ms: when an answer stops being of full use, on this node's clock.
+        priority: rank in a queue, 0 first.
+        nested: whether the request was made by work that runs at a worker.
+        resent: whether an earlier send of the request reached a worker.
     """
 
     request_id: str
@@ -38,6 +44,32 @@
     resend_window_ms: float = 600_000
     fingerprint: str = ""
     fences: tuple[str, ...] = ()
+    objective_ms: float = math.inf
+    priority: int = 0
+    nested: bool = False
+    resent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """The backend server beside a gate, as the platform lists it.
+
+    Attributes:
+        instance: identity of its present start; other starts refuse requests that
+            name it.
+        service: the service that it runs.
+        slots: requests that it runs at once.
+        state: live or leaving.
+        cold_left_ms: how much longer it stays cold, when the listing was written.
+        started_ms: time of day of its present start; 0 if it does not tell.
+    """
+
+    instance: str
+    service: str
+    slots: int
+    state: HostState
+    cold_left_ms: float = 0.0
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,9 +98,11 @@
         detail: what happened, for people.
         home: a host to ask first, with ``NOT_HOME``.
         fenced: whether the gate promises not to run the key from now on.
+        retry_after_ms: when room is expected; 0 if nothing is known.
     """
 
     kind: ErrorKind
     detail: str
     home: HostRecord | None = None
     fenced: bool = False
+    retry_after_ms: int = 0
--- a/packages/cactushook/src/cactushook/dispatch.py
+++ b/packages/cactushook/src/cactushook/dispatch.py
@@ -12,7 +12,7 @@
 from .exceptions import Ran
 from .nodes import HostRecord
 from .nodes import HostState
-from .retries import RetryBudget
+from .retries import Budget
 from .routing import Router
 from .snapshot import Snapshot
 
@@ -79,12 +79,18 @@
         call: the request.
         router: the entry's router.
         budget: the service's retry budget.
+        redirects: gates that may be asked, without cost, after one refused and
+            sent nothing to its worker.
     """
 
-    def __init__(self, call: Call, router: Router, budget: RetryBudget) -> None:
+    def __init__(
+        self, call: Call, router: Router, budget: Budget, redirects: int = 0
+    ) -> None:
         self._call = call
         self._router = router
         self._budget = budget
+        self._redirects_left = redirects
+        self._sent = 0
         self._tried: list[str] = []
         self._asked: HostRecord | None = None
         self._may_have_run: Refusal | None = None
@@ -102,11 +108,18 @@
             self._may_have_run = refusal
         if now_ms >= self._call.deadline_ms:
             return self._refuse(_late(refusal))
-        left = self._call.attempts_left - len(self._tried)
-        route_class = self._call.route_class
-        match retries.decide(refusal.kind, route_class, left, self._budget):
-            case retries.GiveUp(kind):
-                return self._refuse(Refusal(kind, refusal.detail))
+        call, kind = self._call, refusal.kind
+        free = kind in retries.BEFORE_WORKER and self._redirects_left > 0
+        if free:
+            self._sent -= 1
+        left = call.attempts_left - self._sent
+        decision = retries.decide(
+            kind, call.route_class, left, self._budget, self._redirects_left
+        )
+        self._redirects_left -= free
+        match decision:
+            case retries.GiveUp(final):
+                return self._refuse(dataclasses.replace(refusal, kind=final))
             case retries.Resend():
                 return self._next(view, now_ms, refusal)
 
@@ -118,10 +131,13 @@
         if choice.host is None:
             detail = f"no worker of {call.service!r} takes work"
             return self._refuse(last or Refusal(ErrorKind.NO_WORKER, detail))
-        left = call.attempts_left - len(self._tried)
+        left = call.attempts_left - self._sent
         self._asked = choice.host
         self._tried.append(choice.host.name)
-        sent = dataclasses.replace(call, attempts_left=left)
+        self._sent += 1
+        sent = dataclasses.replace(
+            call, attempts_left=left, resent=self._sent > 1 or call.resent
+        )
         return SendTo(choice.host, sent, call.deadline_ms - now_ms)
 
     def _refuse(self, refusal: Refusal) -> Refuse:
@@ -143,7 +159,7 @@
         budget: the service's retry budget.
     """
 
-    def __init__(self, call: Call, budget: RetryBudget) -> None:
+    def __init__(self, call: Call, budget: Budget) -> None:
         self._call = call
         self._budget = budget
         self._turned_away = 0
@@ -223,12 +239,12 @@
 
 
 def dispatch(
-    call: Call, router: Router, budget: RetryBudget
+    call: Call, router: Router, budget: Budget, redirects: int = 0
 ) -> Dispatch | KeyedDispatch:
     """Returns the decisions for one request."""
     if call.key:
         return KeyedDispatch(call, budget)
-    return Dispatch(call, router, budget)
+    return Dispatch(call, router, budget, redirects)
 
 
 __all__ = ["Dispatch", "KeyedDispatch", "Refuse", "SendTo", "Step", "View", "dispatch"]
--- a/packages/cactushook/src/cactushook/exceptions.py
+++ b/packages/cactushook/src/cactushook/exceptions.py
@@ -68,6 +68,11 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     WORKER_UNREACHABLE = "worker_unreachable"
     WORKER_LOST = "worker_lost"
+    WORKER_REJECTED = "worker_rejected"
+    WORKER_REPLACED = "worker_replaced"
+    WORKER_UNKNOWN = "worker_unknown"
+    WORKER_FAILED = "worker_failed"
+    ANSWER_INVALID = "answer_invalid"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     DEADLINE_NOT_RUN = "deadline_not_run"
@@ -78,6 +83,7 @@
     FRAME_TOO_LARGE = "frame_too_large"
     CREDIT_OVERRUN = "credit_overrun"
     SOURCE_UNREACHABLE = "source_unreachable"
+    SOURCE_HISTORY_LOST = "source_history_lost"
     SOURCE_BUDGET_SPENT = "source_budget_spent"
     ADDRESS_IN_USE = "address_in_use"
 
@@ -149,6 +155,11 @@
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.MAYBE, Retry.NEVER),
     ErrorKind.WORKER_UNREACHABLE: _NOT_RUN,
     ErrorKind.WORKER_LOST: _MAYBE,
+    ErrorKind.WORKER_REJECTED: _NOT_RUN,
+    ErrorKind.WORKER_REPLACED: _NOT_RUN,
+    ErrorKind.WORKER_UNKNOWN: _NOT_RUN,
+    ErrorKind.WORKER_FAILED: _MAYBE,
+    ErrorKind.ANSWER_INVALID: _MAYBE,
     ErrorKind.PEER_UNREACHABLE: _NOT_RUN,
     ErrorKind.PEER_LOST: _MAYBE,
     ErrorKind.DEADLINE_NOT_RUN: Answer(504, Ran.NO, Retry.NEVER),
@@ -158,6 +169,7 @@
     ErrorKind.FRAME_TOO_LARGE: _MAYBE,
     ErrorKind.CREDIT_OVERRUN: _MAYBE,
     ErrorKind.SOURCE_UNREACHABLE: _NOT_RUN,
+    ErrorKind.SOURCE_HISTORY_LOST: _NOT_RUN,
     ErrorKind.SOURCE_BUDGET_SPENT: _NOT_RUN,
     ErrorKind.ADDRESS_IN_USE: _NOT_RUN_FINAL,
 }
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -1,8 +1,11 @@
 """The order of a gate's decisions on one request, without input or output."""
 
+import collections
 import dataclasses
 import typing as t
 
+import msgspec
+
 from . import homes
 from . import once
 from .admission import Admission
@@ -11,6 +14,7 @@
 from .admission import MIXED_BULK_SHARE
 from .admission import Verdict
 from .calls import Call
+from .calls import Listing
 from .calls import Load
 from .calls import Refusal
 from .crashes import CrashNews
@@ -19,12 +23,18 @@
 from .exceptions import ErrorKind
 from .exceptions import Ran
 from .nodes import HostRecord
+from .nodes import HostState
+from .nodes import Limits
 from .nodes import RouteClass
+from .ramp import ColdRate
 from .ramp import LatencyWatch
 from .snapshot import Snapshot
 
 PAUSE_REFRESH_MS = 1_000
 PAUSE_DRAIN_MS = 100
+# Requests lost so shortly before a crash was found may have caused it.
+CRASH_WINDOW_MS = 1_000
+KEPT_LOST = 64
 
 # After so many fences a key is not passed on for a cold start: all may be cold.
 MAX_COLD_FENCES = 4
@@ -103,10 +113,21 @@
 
     Args:
         own: the gate's own host.
+        needs_listing: whether requests are refused until the platform has listed
+            the backend server.
     """
 
-    def __init__(self, own: HostRecord) -> None:
+    def __init__(self, own: HostRecord, needs_listing: bool = False) -> None:
         self._own = own
+        self._needs_listing = needs_listing
+        self._listing: Listing | None = None
+        self._snapshot: Snapshot | None = None
+        self._domain_out = False
+        self._is_down = False
+        self._replaced = ""
+        self._lost: collections.deque[tuple[float, Call]] = collections.deque(
+            maxlen=KEPT_LOST
+        )
         self.homes = homes.Homes(own)
         self.crashes = CrashTable()
         self.admission: Admission | None = None
@@ -121,21 +142,86 @@
     def configure(self, snapshot: Snapshot, now_ms: float) -> None:
         """Follows the configuration in force."""
         self._version = snapshot.head.version
-        service = snapshot.services.get(self._own.service)
+        self._snapshot = snapshot
+        service = snapshot.services.get(self.service)
         if service is None:
             return
+        limits = self._listed_limits(service.limits)
         if self.admission is None:
-            self.admission = Admission(service.limits, now_ms)
+            self.admission = Admission(limits, now_ms)
             self.admission.draining = self._draining
         classes = {
             bound.route.route_class
             for bound in snapshot.routes
-            if bound.service.service == self._own.service
+            if bound.service.service == self.service
         }
         bulk_only = classes == {RouteClass.BULK}
         self.admission.bulk_share = 1.0 if bulk_only else MIXED_BULK_SHARE
-        domain_out = snapshot.is_out(self._own.domain)
-        self.admission.configure(service.limits, domain_out, now_ms)
+        self._domain_out = snapshot.is_out(self._own.domain)
+        self.admission.configure(limits, self._domain_out, now_ms)
+
+    def listed(self, listing: Listing | None, now_ms: float) -> None:
+        """Follows the platform's listing of the backend server."""
+        before = self._listing
+        if listing == before:
+            return
+        self._listing = listing
+        if listing is None or self._snapshot is None:
+            return
+        self.configure(self._snapshot, now_ms)
+        if _start(before) != _start(listing):
+            self._replaced = ""
+            self.told_cold(listing.cold_left_ms, now_ms)
+        elif listing.cold_left_ms != before.cold_left_ms:
+            self.told_cold(listing.cold_left_ms, now_ms)
+
+    def told_cold(self, left_ms: float, now_ms: float) -> None:
+        """Takes in how much longer the backend server says it stays cold."""
+        if self.admission is not None and isinstance(self.admission.ramp, ColdRate):
+            self.admission.ramp.told(left_ms, now_ms)
+
+    def may_be_cold(self, now_ms: float) -> None:
+        """Notes that the backend server may have restarted unseen."""
+        if self.admission is not None:
+            self._turned_cold(now_ms)
+
+    def is_cold(self, now_ms: float) -> bool:
+        """Tells whether the backend server is taken as cold."""
+        return self.admission is not None and self.admission.ramp.is_cold(now_ms)
+
+    @property
+    def domain_out(self) -> bool:
+        """Whether the gate's failure domain is out of service."""
+        return self._domain_out
+
+    def went_down(self, now_ms: float) -> tuple[CrashNews, ...]:
+        """Notes that the backend server accepts no connections.
+
+        Requests that it lost a moment before, and those that run, may have crashed
+        it.
+        """
+        self._is_down = True
+        since_ms = now_ms - CRASH_WINDOW_MS
+        suspects = [call for lost_ms, call in self._lost if lost_ms > since_ms]
+        self._lost.clear()
+        if self.admission is not None:
+            suspects += self.admission.running
+        return self._blame(suspects, now_ms)
+
+    def came_back(self, now_ms: float) -> None:
+        """Notes that the backend server accepts connections again."""
+        self._is_down = False
+        self.may_be_cold(now_ms)
+
+    @property
+    def service(self) -> str:
+        """The service that the backend server runs."""
+        return self._own.service if self._listing is None else self._listing.service
+
+    @property
+    def instance(self) -> str:
+        """Identity of the backend server's present start, empty if not listed."""
+        return "" if self._listing is None else self._listing.instance
 
     def drain(self) -> None:
         """Refuses new work from now on; running and waiting work goes on."""
@@ -164,7 +250,10 @@
         """Returns the load that is told to entries."""
         if self.admission is None:
             return Load(capacity=0, accepting=False)
-        return self.admission.load(now_ms)
+        load = self.admission.load(now_ms)
+        if self._unlisted() is not None:
+            return dataclasses.replace(load, accepting=False)
+        return load
 
     def offer(
         self,
@@ -184,8 +273,11 @@
         Returns:
             Verdicts on requests that waited, and one on this request.
         """
-        if self.admission is None or call.service != self._own.service:
+        if self.admission is None or call.service != self.service:
             return [Dropped(call, self._not_served(call))]
+        unlisted = self._unlisted()
+        if unlisted is not None:
+            return [Dropped(call, unlisted)]
         if call.route_class is RouteClass.AT_MOST_ONCE:
             return self._offer_keyed(call, hosts, now_ms, epoch_ms)
         refusal = self._refusal(call, now_ms)
@@ -219,6 +311,10 @@
         match outcome:
             case Answered():
                 self._answered(call, outcome, now_ms)
+            case Failed(ErrorKind.WORKER_LOST) if self._needs_listing:
+                self._lost.append((now_ms, call))
+            case Failed(ErrorKind.WORKER_REPLACED):
+                self._replaced = self.instance
             case Failed(ErrorKind.WORKER_LOST):
                 crashes = self._worker_lost(call, now_ms)
             case Failed(ErrorKind.WORKER_UNREACHABLE):
@@ -309,6 +405,28 @@
     def _fence(self, call: Call, epoch_ms: float) -> Refusal:
         return _FENCED if self._once.fence(call, epoch_ms) else _FULL
 
+    def _listed_limits(self, limits: Limits) -> Limits:
+        if self._listing is None:
+            return limits
+        slots = min(limits.slots, self._listing.slots)
+        return msgspec.structs.replace(limits, slots=slots)
+
+    def _unlisted(self) -> Refusal | None:
+        if not self._needs_listing:
+            return None
+        if self._listing is None:
+            detail = "the platform does not list the backend server"
+            return Refusal(ErrorKind.WORKER_UNKNOWN, detail)
+        if self._listing.state is not HostState.LIVE:
+            return Refusal(ErrorKind.DRAINING, "the backend server is leaving")
+        if self._replaced == self._listing.instance:
+            detail = "the backend server started anew and is not listed yet"
+            return Refusal(ErrorKind.WORKER_UNKNOWN, detail)
+        if self._is_down:
+            detail = "the backend server accepts no connections"
+            return Refusal(ErrorKind.WORKER_UNREACHABLE, detail)
+        return None
+
     def _not_served(self, call: Call) -> Refusal:
         detail = f"service {call.service!r} does not run here"
         behind = self.admission is None and call.version > self._version
@@ -324,6 +442,7 @@
         return None
 
     def _answered(self, call: Call, outcome: Answered, now_ms: float) -> None:
+        self._lost.clear()
         self.crashes.answered(call.fingerprint, now_ms)
         if outcome.instance and outcome.instance != self._instance:
             if self._instance:
@@ -331,8 +450,10 @@
             self._instance = outcome.instance
         if call.route_class is not RouteClass.IDEMPOTENT:
             return
-        warm = not t.cast(Admission, self.admission).ramp.is_cold(now_ms)
-        if warm and self._latencies.observe(outcome.latency_ms):
+        ramp = t.cast(Admission, self.admission).ramp
+        if isinstance(ramp, ColdRate):
+            return
+        if not ramp.is_cold(now_ms) and self._latencies.observe(outcome.latency_ms):
             self._turned_cold(now_ms)
 
     def _turned_cold(self, now_ms: float) -> None:
@@ -345,13 +466,16 @@
         running = t.cast(Admission, self.admission).running
         self._blamed = frozenset(item.request_id for item in running)
         self._turned_cold(now_ms)
+        return self._blame(running, now_ms)
+
+    def _blame(self, running: t.Iterable[Call], now_ms: float) -> tuple[CrashNews, ...]:
         suspects = dict.fromkeys(
             item.fingerprint
             for item in running
             if not self.crashes.is_trusted(item.fingerprint, now_ms)
         )
         news = tuple(
-            CrashNews(call.service, suspect, self._own.name) for suspect in suspects
+            CrashNews(self.service, suspect, self._own.name) for suspect in suspects
         )
         for item in news:
             self.crashes.note(item, now_ms)
@@ -372,6 +496,10 @@
         return Refusal(ErrorKind.OUTCOME_UNKNOWN, reason)
 
 
+def _start(listing: Listing | None) -> tuple[str, int] | None:
+    return None if listing is None else (listing.instance, listing.started_ms)
+
+
 _FENCED = Refusal(ErrorKind.KEY_FENCED, "this host will not run the key", fenced=True)
 _FULL = Refusal(ErrorKind.OVERLOADED, "too many keys are kept")
 
--- a/packages/cactushook/src/cactushook/membership.py
+++ b/packages/cactushook/src/cactushook/membership.py
@@ -201,6 +201,18 @@
             self._replace(newer.values())
         return tuple(newer.values())
 
+    def replace_all(self, records: t.Iterable[HostRecord]) -> None:
+        """Replaces every record by those of a list that is authoritative.
+
+        The node's own record is gone unless the list holds it.
+        """
+        records = tuple(records)
+        gone = msgspec.structs.replace(self.own, state=HostState.GONE)
+        own = next((r for r in records if r.name == self.own.name), gone)
+        self.own = own
+        self._views = {}
+        self._replace((own, *(r for r in records if r.name != own.name)))
+
     def change_state(self, state: HostState) -> None:
         """Changes the state in the node's own record."""
         self.own = msgspec.structs.replace(self.own, state=state)
--- a/packages/cactushook/src/cactushook/nodes.py
+++ b/packages/cactushook/src/cactushook/nodes.py
@@ -11,6 +11,9 @@
 Slots = t.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
 QueueLength = t.Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 Attempts = t.Annotated[int, msgspec.Meta(ge=1, le=5)]
+Weight = t.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+Priority = t.Annotated[int, msgspec.Meta(ge=0, le=100)]
+HostName = t.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9.-]*$", max_length=253)]
 TimeoutMs = t.Annotated[int, msgspec.Meta(ge=1, le=600_000)]
 WindowMs = t.Annotated[int, msgspec.Meta(ge=1_000, le=86_400_000)]
 Permille = t.Annotated[int, msgspec.Meta(ge=0, le=1_000)]
@@ -24,6 +27,7 @@
     """How a route's requests may be treated."""
 
     IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
     AT_MOST_ONCE = "at_most_once"
     BULK = "bulk"
 
@@ -44,6 +48,8 @@
         queue_length: requests that may wait for a slot.
         queue_timeout_ms: longest wait for a slot.
         ramp_ms: time from one slot to all slots after a cold start.
+        cold_requests_per_s: requests a second that a cold worker can bear; replaces
+            the ramp where the worker tells how long it stays cold.
     """
 
     slots: Slots
@@ -51,6 +57,19 @@
     queue_length: QueueLength = 50
     queue_timeout_ms: TimeoutMs = 500
     ramp_ms: TimeoutMs = 10_000
+    cold_requests_per_s: Slots | None = None
+
+
+class SplitPart(Config, kw_only=True):
+    """One service that takes a share of a route's requests.
+
+    Attributes:
+        service: the service.
+        weight: its share, relative to the other parts.
+    """
+
+    service: Name
+    weight: Weight
 
 
 class Route(Config, kw_only=True):
@@ -66,6 +85,11 @@
         attempts: most times that a request is sent to a worker.
         key_header: header that carries the key of an at-most-once request.
         resend_window_ms: how long a caller may resend with the same key.
+        host: the ``Host`` that it serves; empty for any.
+        split: services that share the requests, in place of ``service``.
+        objective_ms: time within which an answer is of full use; the timeout by
+            default.
+        priority: rank in a queue, 0 first.
     """
 
     path: RoutePath
@@ -77,6 +101,10 @@
     attempts: Attempts = 3
     key_header: str = "idempotency-key"
     resend_window_ms: WindowMs = 600_000
+    host: HostName = ""
+    split: tuple[SplitPart, ...] = ()
+    objective_ms: TimeoutMs | None = None
+    priority: Priority = 0
 
 
 class TeamFile(Config, kw_only=True):
@@ -89,6 +117,7 @@
         limits: what one worker can bear.
         routes: how it is reached.
         retry_budget_permille: retries allowed per thousand requests.
+        health_path: path at which the backend server tells of its health.
     """
 
     service: Name
@@ -97,6 +126,7 @@
     limits: Limits
     routes: tuple[Route, ...] = ()
     retry_budget_permille: Permille = 100
+    health_path: RoutePath = "/healthz"
 
 
 class DomainState(enum.Enum):
@@ -143,6 +173,7 @@
         service: service that the host's backend server runs.
         state: live, leaving or gone.
         incarnation: grows with each start of the node, milliseconds since the epoch.
+        instance: identity of the backend server's present start, empty if unknown.
     """
 
     name: str
@@ -152,3 +183,4 @@
     service: Name
     state: HostState = HostState.LIVE
     incarnation: int = 0
+    instance: str = ""
--- a/packages/cactushook/src/cactushook/retries.py
+++ b/packages/cactushook/src/cactushook/retries.py
@@ -1,5 +1,6 @@
 """Decides whether an entry sends a request again."""
 
+import collections
 import dataclasses
 import typing as t
 
@@ -37,6 +38,79 @@
 
 Decision: t.TypeAlias = Resend | GiveUp
 
+# Refusals given before anything was sent to the worker: another gate may be asked
+# without the request counting as sent again.
+BEFORE_WORKER = frozenset(
+    (
+        ErrorKind.OVERLOADED,
+        ErrorKind.COLD_START,
+        ErrorKind.QUEUE_TIMEOUT,
+        ErrorKind.NOT_READY,
+        ErrorKind.DRAINING,
+        ErrorKind.DOMAIN_OUT,
+        ErrorKind.VERSION_BEHIND,
+        ErrorKind.PEER_UNREACHABLE,
+        ErrorKind.WORKER_UNREACHABLE,
+        ErrorKind.WORKER_UNKNOWN,
+    )
+)
+
+
+class Budget(t.Protocol):
+    """Bounds how often a service's requests are sent again."""
+
+    def request(self) -> None:
+        """Counts a first attempt."""
+
+    def spend(self) -> bool:
+        """Takes one retry if the budget allows it."""
+
+
+class WindowBudget:
+    """Retries of one service within any window of a fixed length.
+
+    Args:
+        ratio: retries allowed per request of the window.
+        slack: retries allowed besides.
+        window_ms: length of the window.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+        self.slack = slack
+        self._ratio = ratio
+        self._window_ms = window_ms
+        self._now_ms = 0.0
+        self._fraction = 0.0
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def advance(self, now_ms: float) -> None:
+        """Sets the time and forgets what lies before the window."""
+        self._now_ms = now_ms
+        since_ms = now_ms - self._window_ms
+        for times in (self._requests, self._retries):
+            while times and times[0] <= since_ms:
+                times.popleft()
+
+    def request(self) -> None:
+        """Counts a first attempt."""
+        self._requests.append(self._now_ms)
+
+    def spend(self) -> bool:
+        """Takes one retry if the budget allows it."""
+        allowed = self._ratio * len(self._requests) + self.slack
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(self._now_ms)
+        return True
+
+    def charge(self, count: float) -> None:
+        """Counts retries that were made elsewhere; fractions add up."""
+        self._fraction += count
+        while self._fraction >= 1:
+            self._fraction -= 1
+            self._retries.append(self._now_ms)
+
 
 class RetryBudget:
     """Retries of one service, as a share of its requests.
@@ -65,7 +139,8 @@
     kind: ErrorKind,
     route_class: RouteClass,
     attempts_left: int,
-    budget: RetryBudget,
+    budget: Budget,
+    redirects_left: int = 0,
 ) -> Decision:
     """Decides on a failed attempt.
 
@@ -74,8 +149,12 @@
         route_class: the route's class.
         attempts_left: sends still allowed after this one.
         budget: the service's budget.
+        redirects_left: gates that may still be asked after a refusal that sent
+            nothing to a worker; they cost no budget.
     """
     answer = ANSWERS[kind]
+    if kind in BEFORE_WORKER and redirects_left > 0:
+        return Resend()
     if answer.retry is Retry.NEVER or attempts_left < 1:
         return GiveUp(kind)
     if answer.ran is Ran.MAYBE and route_class is not RouteClass.IDEMPOTENT:
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -27,6 +27,11 @@
     ErrorKind.PEER_UNREACHABLE: 1_000,
     ErrorKind.PEER_LOST: 1_000,
     ErrorKind.DRAINING: 2_000,
+    ErrorKind.WORKER_REJECTED: 50,
+    ErrorKind.WORKER_REPLACED: 500,
+    ErrorKind.WORKER_UNKNOWN: 500,
+    ErrorKind.WORKER_FAILED: 20,
+    ErrorKind.ANSWER_INVALID: 20,
     ErrorKind.DOMAIN_OUT: 2_000,
 }
 
--- a/packages/cactushook/src/cactushook/snapshot.py
+++ b/packages/cactushook/src/cactushook/snapshot.py
@@ -1,6 +1,7 @@
 """Assembles a published version and compiles it into one frozen snapshot."""
 
 import dataclasses
+import functools
 import typing as t
 
 import msgspec
@@ -28,15 +29,30 @@
 T = t.TypeVar("T", bound=Config)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A service that takes a share of a route's requests."""
+
+    service: TeamFile
+    weight: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BoundRoute:
-    """A route together with the service that runs it."""
+    """A route together with the service that runs it.
+
+    Attributes:
+        route: the route.
+        service: runs its requests, unless they are shared.
+        shares: the services that share its requests; empty for one service.
+    """
 
     route: Route
     service: TeamFile
+    shares: tuple[Share, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Snapshot:
     """A configuration in force: whole, checked, never changed.
 
@@ -52,13 +68,23 @@
     domains: t.Mapping[str, Domain]
     routes: tuple[BoundRoute, ...]
 
-    def match(self, method: str, path: str) -> BoundRoute | None:
+    def match(self, method: str, path: str, host: str = "") -> BoundRoute | None:
         """Returns the longest route that covers a request, or None."""
-        for bound in self.routes:
-            if method in bound.route.methods and _covers(bound.route.path, path):
-                return bound
+        for prefix in _prefixes(path):
+            for bound in self._by_prefix.get(prefix, ()):
+                route = bound.route
+                if method in route.methods and route.host in ("", host):
+                    return bound
         return None
 
+    @functools.cached_property
+    def _by_prefix(self) -> t.Mapping[str, tuple[BoundRoute, ...]]:
+        """Routes by path; those of one host stand before those of any."""
+        found: dict[str, list[BoundRoute]] = {}
+        for bound in sorted(self.routes, key=lambda bound: not bound.route.host):
+            found.setdefault(bound.route.path, []).append(bound)
+        return {path: tuple(routes) for path, routes in found.items()}
+
     def is_out(self, domain: str) -> bool:
         """Tells whether operators took a failure domain out of service."""
         found = self.domains.get(domain)
@@ -153,7 +179,7 @@
 ) -> Snapshot:
     services = {item.service: item for item in team_files}
     routes = [
-        BoundRoute(route, services[route.service or item.service])
+        bind(route, services, item.service)
         for item in team_files
         for route in item.routes
     ]
@@ -162,10 +188,26 @@
     return Snapshot(head, services, domains, tuple(routes))
 
 
-def _covers(prefix: str, path: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return prefix.endswith("/") or path[len(prefix) : len(prefix) + 1] in ("", "/")
+def bind(
+    route: Route, services: t.Mapping[str, TeamFile], default_service: str
+) -> BoundRoute:
+    """Joins a route with the services that it names."""
+    shares = tuple(Share(services[part.service], part.weight) for part in route.split)
+    if shares:
+        return BoundRoute(route, shares[0].service, shares)
+    return BoundRoute(route, services[route.service or default_service])
+
+
+def _prefixes(path: str) -> t.Iterator[str]:
+    """Yields the route paths that cover a request's path, longest first."""
+    yield path
+    end = len(path)
+    while (slash := path.rfind("/", 0, end)) >= 0:
+        if slash + 1 < len(path):
+            yield path[: slash + 1]
+        if 0 < slash < end:
+            yield path[:slash]
+        end = slash
 
 
 class _Loader:
@@ -217,7 +259,9 @@
     "BoundRoute",
     "EMPTY",
     "EMPTY_SNAPSHOT",
+    "Share",
     "Snapshot",
     "assemble",
+    "bind",
     "missing_values",
 ]
--- a/packages/cactushook/src/cactushook/validation.py
+++ b/packages/cactushook/src/cactushook/validation.py
@@ -128,8 +128,24 @@
                     file=source.file,
                     field=f"{field}.service",
                 )
+            for part_index, part in enumerate(route.split):
+                if part.service not in services:
+                    yield ConfigError(
+                        ErrorKind.UNKNOWN_SERVICE,
+                        f"route {route.path!r} names service {part.service!r}, "
+                        "which does not exist",
+                        file=source.file,
+                        field=f"{field}.split[{part_index}].service",
+                    )
+            if route.split and not any(part.weight for part in route.split):
+                yield ConfigError(
+                    ErrorKind.LIMIT_OUT_OF_RANGE,
+                    f"route {route.path!r} is split, but every weight is 0",
+                    file=source.file,
+                    field=f"{field}.split",
+                )
             for method in sorted(set(route.methods)):
-                claim = f"{method} {route.path}"
+                claim = f"{method} {route.host}{route.path}"
                 owner, owner_index = owners.setdefault(claim, (source, index))
                 if owner is not source or owner_index != index:
                     yield ConfigError(
--- a/packages/cactushook/src/cactushook/versions.py
+++ b/packages/cactushook/src/cactushook/versions.py
@@ -116,6 +116,17 @@
         while len(self._refused) > KEPT_REFUSALS:
             self._refused.popitem(last=False)
 
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Puts a snapshot in force that needs no values, unless it is older.
+
+        Returns:
+            Whether the snapshot is in force now.
+        """
+        if snapshot.head.version < self.head.version:
+            return False
+        self._assembled = Assembled(snapshot, {}, {})
+        return True
+
     def offer(self, head: Head, values: t.Mapping[str, bytes]) -> Snapshot:
         """Puts a version in force, whole or not at all.
 
