--- a/features/steps/edge_worker.py
+++ b/features/steps/edge_worker.py
@@ -8,6 +8,8 @@
 from behave import then
 from behave import when
 from cactushook import RequestError
+from cactushook_node.headers import header_names
+from cactushook_node.settings import HeaderSettings
 from cactushook_node.settings import WorkerSettings
 from cactushook_node.streams import WorkerRequest
 from cactushook_node.worker import Worker
@@ -85,7 +87,9 @@
                         task_status=task_status,
                     )
                 )
-            await body(Worker(WorkerSettings(address=address), CONNECTIONS))
+            settings = WorkerSettings(address=address)
+            names = header_names(HeaderSettings(), settings.instance_header)
+            await body(Worker(settings, names, CONNECTIONS))
             nursery.cancel_scope.cancel()
 
     trio.run(main)
--- a/features/steps/product_pages.py
+++ b/features/steps/product_pages.py
@@ -12,7 +12,6 @@
 from behave import when
 from cactushook import ANSWERS
 from cactushook import ErrorKind
-from cactushook_node import logs
 from cactushook_node.metrics import Metrics
 
 from features import command
@@ -20,7 +19,12 @@
 from features import pages
 
 NODE_SOURCES = pages.ROOT / "packages/cactushook-node/src/cactushook_node"
-LEVELS = ("debug", "info", "warning")
+LEVELS = {
+    "debug": "debug",
+    "info": "info",
+    "request": "info",
+    "warning": "warning",
+}
 ADMIN_IN_PAGES = "10.0.0.5:7103"
 FILE_PATTERN = re.compile(r"// (\S+\.jsonc)\n")
 
@@ -62,7 +66,7 @@
     listed = {
         pages.unquoted(event): level for event, level, _ in pages.table(page, heading)
     }
-    logged = {logs.HTTP_EVENT: "warning"}
+    logged = {}
     for path in NODE_SOURCES.glob("*.py"):
         logged.update(events_in(ast.parse(path.read_text())))
     assert_same(listed, logged)
@@ -76,7 +80,7 @@
                 func=ast.Attribute(attr=level, value=owner),
                 args=[ast.Constant(value=str(event)), *_],
             ) if level in LEVELS and ast.unparse(owner).endswith("log"):
-                yield event, level
+                yield event, LEVELS[level]
 
 
 def assert_same(listed, wanted):
--- a/packages/cactushook-node/src/cactushook_node/admin.py
+++ b/packages/cactushook-node/src/cactushook_node/admin.py
@@ -1,6 +1,5 @@
 """The admin address: metrics, health, readiness, status and explanations."""
 
-import dataclasses
 import typing as t
 import urllib.parse
 
@@ -14,30 +13,16 @@
 from cactushook.reports import ReasonCount
 from cactushook.reports import Status
 
-from .asgi import answer
-from .asgi import AsgiMessage
-from .asgi import http_config
-from .asgi import Receive
-from .asgi import Send
-from .asgi import serve_http
 from .environment import Environment
 from .environment import Readiness
 from .explain import explain
+from .pages import Page
+from .pages import PageServer
 
 MAX_LEAVING_SHOWN = 100
-TEXT_TYPE = b"text/plain; charset=utf-8"
 JSON_TYPE = b"application/json"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Page:
-    """One answer of the admin address."""
-
-    status: int
-    body: bytes
-    content_type: bytes = TEXT_TYPE
-
-
 class Admin:
     """Serves operators.
 
@@ -55,8 +40,11 @@
 
     async def serve(self, task_status: trio.TaskStatus[t.Any]) -> None:
         """Listens until cancelled."""
-        config = http_config(self._environment.settings.admin_listen)
-        await serve_http(self._request, config, task_status)
+        settings = self._environment.settings
+        addresses = [settings.admin_listen]
+        if settings.metrics_listen is not None:
+            addresses.append(settings.metrics_listen)
+        await PageServer(self._environment, self._answer).serve(addresses, task_status)
 
     def status(self) -> Status:
         """Returns the node's state for operators."""
@@ -82,38 +70,36 @@
             retries=_counts(environment.metrics.retries),
         )
 
-    async def _request(self, scope: AsgiMessage, receive: Receive, send: Send) -> None:
-        if scope["method"] == "GET":
-            page = self._page(scope["path"], scope["query_string"])
-        else:
-            page = _Page(405, b"only GET\n")
-        headers = ((b"content-type", page.content_type),)
-        await answer(send, page.status, page.body, headers)
+    def _answer(self, method: str, target: bytes) -> Page:
+        if method != "GET":
+            return Page(405, b"only GET\n")
+        path, _, query = target.partition(b"?")
+        return self._page(path.decode("latin-1"), query)
 
-    def _page(self, path: str, query: bytes) -> _Page:
+    def _page(self, path: str, query: bytes) -> Page:
         match path:
             case "/metrics":
-                return _Page(200, self._environment.metrics.expose())
+                return Page(200, self._environment.metrics.expose())
             case "/healthz":
-                return _Page(200, b"ok\n")
-            case "/readyz":
+                return Page(200, b"ok\n")
+            case "/readyz" | self._environment.settings.ready_path:
                 readiness = self._readiness()
                 status = 200 if readiness.ready else 503
-                return _Page(status, readiness.reason.encode() + b"\n")
+                return Page(status, readiness.reason.encode() + b"\n")
             case "/status":
-                return _Page(200, msgspec.json.encode(self.status()), JSON_TYPE)
+                return Page(200, msgspec.json.encode(self.status()), JSON_TYPE)
             case "/explain":
                 return self._explain(query)
-        return _Page(404, b"not found\n")
+        return Page(404, b"not found\n")
 
-    def _explain(self, query: bytes) -> _Page:
+    def _explain(self, query: bytes) -> Page:
         fields = dict(urllib.parse.parse_qsl(query.decode("latin-1")))
         method, path = fields.get("method", ""), fields.get("path", "")
         if not method or not path.startswith("/"):
-            return _Page(400, b"method and path are needed\n")
+            return Page(400, b"method and path are needed\n")
         path = path.split("?", 1)[0]
         explanation = explain(self._environment, self._router, method, path)
-        return _Page(200, msgspec.json.encode(explanation), JSON_TYPE)
+        return Page(200, msgspec.json.encode(explanation), JSON_TYPE)
 
     def _readiness(self) -> Readiness:
         """Returns the board's readiness; a platform that is down explains the wait."""
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -33,33 +33,73 @@
         self._environment = environment
         self._entry = entry
         self._running: dict[int, trio.CancelScope] = {}
+        self._receiving: dict[HttpConnection, trio.CancelScope] = {}
+        self._listening: list[trio.CancelScope] = []
+        self._stopped = False
         environment.timers.every(DISCONNECT_SWEEP_MS, self._cancel_abandoned)
 
     async def serve(self, task_status: trio.TaskStatus[t.Any]) -> None:
         """Listens for callers until cancelled."""
         settings = self._environment.settings
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._listen, settings.public_listen, False)
-            await nursery.start(self._listen, settings.internal_listen, True)
+            await nursery.start(self._listen, settings.public_listen, False, nursery)
+            await nursery.start(self._listen, settings.internal_listen, True, nursery)
             task_status.started()
+            await trio.sleep_forever()
+
+    def stop_accepting(self) -> None:
+        """Closes the listeners and idle connections; running requests go on."""
+        self._stopped = True
+        for scope in self._listening:
+            scope.cancel()
+        for http, scope in self._receiving.items():
+            if http.is_idle:
+                scope.cancel()
+
+    async def receive(self, http: HttpConnection) -> HttpRequest | None:
+        """Returns a connection's next request, or None once there is no more."""
+        with trio.CancelScope() as scope:
+            if self._stopped and http.is_idle:
+                return None
+            self._receiving[http] = scope
+            try:
+                return await http.receive()
+            finally:
+                del self._receiving[http]
+        return None
 
     async def _listen(
-        self, address: str, internal: bool, task_status: trio.TaskStatus[t.Any]
+        self,
+        address: str,
+        internal: bool,
+        handlers: trio.Nursery,
+        task_status: trio.TaskStatus[t.Any],
     ) -> None:
         ip, _, port = address.rpartition(":")
         listener = Listener(self, self._environment, internal)
-        await trio.serve_tcp(
-            listener.accept, int(port), host=ip, task_status=task_status
-        )
+        with trio.CancelScope() as scope:
+            self._listening.append(scope)
+            await trio.serve_tcp(
+                listener.accept,
+                int(port),
+                host=ip,
+                handler_nursery=handlers,
+                task_status=task_status,
+            )
 
     async def request(
-        self, http: HttpConnection, request: HttpRequest, fd: int, internal: bool
+        self,
+        http: HttpConnection,
+        request: HttpRequest,
+        fd: int,
+        internal: bool,
+        nested: bool,
     ) -> bool:
         """Serves one request and tells whether the connection can go on."""
         with trio.CancelScope() as scope:
             self._running[fd] = scope
             try:
-                await self._serve(http, request, internal)
+                await self._serve(http, request, internal, nested)
             except AnswerCutError as error:
                 self._environment.metrics.answers_cut.labels(error.reason).inc()
                 http.reset()
@@ -73,10 +113,19 @@
         return not scope.cancelled_caught and http.next()
 
     async def _serve(
-        self, http: HttpConnection, request: HttpRequest, internal: bool
+        self,
+        http: HttpConnection,
+        request: HttpRequest,
+        internal: bool,
+        nested: bool,
     ) -> None:
         entry_request = EntryRequest(
-            request.method, request.target, request.headers, request.body, internal
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            internal,
+            nested,
         )
         try:
             await self._entry.serve(entry_request, http.emit)
@@ -114,22 +163,24 @@
         self._edge = edge
         self._log = environment.log
         self._metrics = environment.metrics
-        self._limits = environment.settings.limits
+        self._environment = environment
         self._internal = internal
+        self._worker_ip = environment.settings.worker.address.rpartition(":")[0]
         self._open = 0
 
     async def accept(self, stream: trio.SocketStream) -> None:
         """Serves one connection to its end."""
         self._open += 1
         try:
-            http = HttpConnection(stream, self._limits)
-            if self._open <= self._limits.connections:
-                await self._run(http, stream.socket.fileno())
-            elif self._open <= 2 * self._limits.connections:
+            limits = self._environment.edge_limits
+            http = HttpConnection(stream, limits, self._is_leaving)
+            if self._open <= limits.connections:
+                await self._run(http, stream)
+            elif self._open <= 2 * limits.connections:
                 await self._refuse(
                     http,
                     ErrorKind.TOO_MANY_CONNECTIONS,
-                    f"more than {self._limits.connections} connections are open",
+                    f"more than {limits.connections} connections are open",
                 )
         except Exception as error:
             self._metrics.handler_failures.labels(PLACE).inc()
@@ -137,11 +188,19 @@
         finally:
             self._open -= 1
 
-    async def _run(self, http: HttpConnection, fd: int) -> None:
+    def _is_leaving(self) -> bool:
+        return self._environment.board.leaving.value
+
+    async def _run(self, http: HttpConnection, stream: trio.SocketStream) -> None:
+        fd = stream.socket.fileno()
+        nested = stream.socket.getpeername()[0] == self._worker_ip
         try:
-            while (request := await http.receive()) is not None:
-                if not await self._edge.request(http, request, fd, self._internal):
+            while (request := await self._edge.receive(http)) is not None:
+                if not await self._edge.request(
+                    http, request, fd, self._internal, nested
+                ):
                     return
+                http.limits = self._environment.edge_limits
         except RequestError as error:
             await self._refuse(http, error.kind, error.message)
 
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -14,28 +14,43 @@
 from cactushook import Router
 from cactushook import Visibility
 from cactushook.digests import digest
+from cactushook.dispatch import Dispatch
 from cactushook.dispatch import dispatch
-from cactushook.dispatch import Refuse
+from cactushook.dispatch import KeyedDispatch
 from cactushook.dispatch import SendTo
 from cactushook.dispatch import View
+from cactushook.repeats import Fanout
+from cactushook.retries import Budget
+from cactushook.retries import WindowBudget
 from cactushook.snapshot import BoundRoute
+from cactushook.splits import Splits
 
 from . import wire
 from .environment import Environment
 from .gate import Gate
+from .headers import find
 from .link_pool import LinkPool
+from .logs import EventLog
 from .streams import Emit
 from .streams import end_to_end
 from .streams import Headers
 from .streams import ReplyChunk
 from .streams import ReplyEvent
 from .streams import ReplyRefused
-from .streams import TIMEOUT_HEADER
+from .streams import ReplyStart
 from .streams import WorkerRequest
 
-HOPS_HEADER = b"cactushook-hops"
-ATTEMPTS_HEADER = b"cactushook-attempts-left"
-_OWN_HEADERS = frozenset((TIMEOUT_HEADER, HOPS_HEADER, ATTEMPTS_HEADER))
+ANSWERED = "answered"
+MAX_ID_CHARACTERS = 64
+MIN_RETRY_AFTER_MS = 100
+# Callers wait for no more than a third of the time that they have left.
+RETRY_AFTER_SHARE = 0.25
+MAX_WIRE_MS = 2**31 - 1
+# Least number of hosts among which the fleet's retries are shared.
+MIN_FLEET_HOSTS = 4
+# Share of the fleet's bound that is used, since views of its size differ.
+BUDGET_SHARE = 0.55
+_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +63,7 @@
         headers: all headers, names in lower case.
         body: the whole body.
         internal: whether it came in on the address for own services.
+        nested: whether it was made by work that runs at the host's own worker.
     """
 
     method: str
@@ -55,6 +71,7 @@
     headers: Headers
     body: bytes
     internal: bool
+    nested: bool = False
 
     @property
     def path(self) -> str:
@@ -63,7 +80,13 @@
 
     def header(self, name: bytes) -> bytes:
         """Returns a header's value, or nothing."""
-        return next((value for key, value in self.headers if key == name), b"")
+        return find(self.headers, name)
+
+    @property
+    def host(self) -> str:
+        """The host that the request names, without a port."""
+        host = find(self.headers, b"host").decode("latin-1").lower()
+        return host.partition(":")[0]
 
 
 class Entry:
@@ -81,7 +104,11 @@
         self._gate = gate
         settings = environment.settings
         self.router = Router(settings.domain, settings.region, environment.rng)
-        self._budgets: dict[str, RetryBudget] = {}
+        self._budgets: dict[str, Budget] = {}
+        self._splits = Splits(environment.rng)
+        self._fleet_hosts = MIN_FLEET_HOSTS
+        self._fanout = Fanout()
+        gate.on_run(self._on_run)
         self._serving = 0
 
     @property
@@ -91,29 +118,48 @@
 
     async def serve(self, request: EntryRequest, emit: Emit) -> None:
         """Answers one request by emitting the events of its answer."""
-        metrics = self._environment.metrics
-        request_id = uuid.uuid4().hex
+        environment = self._environment
+        metrics = environment.metrics
+        told = request.header(environment.headers.request_id)
+        request_id = told.decode("latin-1") or uuid.uuid4().hex
+        trace = Trace(request_id, environment.now_ms())
         self._serving += 1
         try:
             bound = self._route(request)
             call = self._call(request, bound, request_id)
+            trace.routed(bound, call)
+            if call.nested:
+                self._fanout.made(call.service)
             worker_request = self._worker_request(request, call)
-            await self._attempts(call, bound, worker_request, emit)
-            metrics.requests.labels(bound.route.route_class.value, "answered").inc()
+            await self._attempts(call, worker_request, emit, trace)
+            trace.outcome = ANSWERED
+            metrics.requests.labels(bound.route.route_class.value, ANSWERED).inc()
+        except RefusedError as error:
+            refusal = error.refusal
+            trace.outcome = refusal.kind.value
+            metrics.refusals.labels(refusal.kind.value, "entry").inc()
+            await emit(
+                ReplyRefused(
+                    refusal.kind,
+                    refusal.detail,
+                    retry_after_ms=self._retry_after_ms(refusal, trace),
+                )
+            )
         except RequestError as error:
+            trace.outcome = error.kind.value
             metrics.refusals.labels(error.kind.value, "entry").inc()
-            self._environment.log.debug(
-                "request_refused", request_id=request_id, kind=error.kind.value
-            )
             await emit(ReplyRefused(error.kind, error.message))
         finally:
             self._serving -= 1
+            trace.log(environment.log, environment.now_ms())
 
     def _route(self, request: EntryRequest) -> BoundRoute:
-        readiness = self._environment.board.readiness.value
-        if not readiness.ready:
+        board = self._environment.board
+        readiness = board.readiness.value
+        if not readiness.ready and not board.leaving.value:
             raise RequestError(ErrorKind.NOT_READY, readiness.reason)
-        bound = self._environment.store.snapshot.match(request.method, request.path)
+        snapshot = self._environment.store.snapshot
+        bound = snapshot.match(request.method, request.path, request.host)
         if bound is None:
             raise RequestError(
                 ErrorKind.NO_ROUTE, f"no route covers {request.method} {request.path!r}"
@@ -127,8 +173,10 @@
     def _call(self, request: EntryRequest, bound: BoundRoute, request_id: str) -> Call:
         route = bound.route
         environment = self._environment
-        timeout_ms = _number(request, TIMEOUT_HEADER, route.timeout_ms)
-        hops = _number(request, HOPS_HEADER, 0) + 1
+        names = environment.headers
+        now_ms = environment.now_ms()
+        timeout_ms = _number(request, names.timeout_ms, route.timeout_ms)
+        hops = _number(request, names.hops, 0) + 1
         if hops > environment.settings.limits.hops:
             raise RequestError(ErrorKind.HOP_LIMIT, f"the request made {hops} hops")
         key = ""
@@ -136,14 +184,12 @@
         if route.route_class is RouteClass.AT_MOST_ONCE:
             key = request.header(route.key_header.lower().encode()).decode("latin-1")
             issued_ms = _issued_ms(key, route.key_header)
-        attempts = min(
-            _number(request, ATTEMPTS_HEADER, route.attempts), route.attempts
-        )
+        attempts = min(_number(request, names.attempts, route.attempts), route.attempts)
         return Call(
             request_id=request_id,
-            service=bound.service.service,
+            service=self._splits.service(bound),
             route_class=route.route_class,
-            deadline_ms=environment.now_ms() + min(timeout_ms, route.timeout_ms),
+            deadline_ms=now_ms + min(timeout_ms, route.timeout_ms),
             version=environment.store.head.version,
             attempts_left=max(1, attempts),
             hops=hops,
@@ -153,54 +199,102 @@
             fingerprint=digest(
                 request.method.encode() + b" " + request.target + b"\n" + request.body
             ),
+            objective_ms=now_ms + (route.objective_ms or route.timeout_ms),
+            priority=route.priority,
+            nested=request.nested,
         )
 
     def _worker_request(self, request: EntryRequest, call: Call) -> WorkerRequest:
-        kept = (h for h in end_to_end(request.headers) if h[0] not in _OWN_HEADERS)
-        added = (
-            (HOPS_HEADER, str(call.hops).encode()),
-            (ATTEMPTS_HEADER, str(call.attempts_left).encode()),
-        )
-        return WorkerRequest(
-            request.method, request.target, (*kept, *added), request.body
+        names = self._environment.headers
+        replaced = names.replaced
+        kept = tuple(h for h in end_to_end(request.headers) if h[0] not in replaced)
+        plain = WorkerRequest(request.method, request.target, kept, request.body)
+        return plain.with_headers(
+            (
+                (names.hops, str(call.hops).encode()),
+                (names.attempts, str(call.attempts_left).encode()),
+                (names.caller_service, self._environment.settings.service.encode()),
+            )
         )
 
     async def _attempts(
-        self, call: Call, bound: BoundRoute, request: WorkerRequest, emit: Emit
+        self, call: Call, request: WorkerRequest, emit: Emit, trace: "Trace"
     ) -> None:
         environment = self._environment
-        decisions = dispatch(call, self.router, self._budget(bound))
+        decisions = self._decisions(call)
         step = decisions.first(self._view(call.service), environment.now_ms())
-        while True:
-            match step:
-                case Refuse(refusal):
-                    raise RequestError(refusal.kind, refusal.detail)
-                case SendTo():
-                    refusal = await self._attempt(step, request, emit)
+        held: ReplyStart | None = None
+        while isinstance(step, SendTo):
+            relay = _Relay(self.router, step, environment, emit)
+            refusal = await self._attempt(step, request, relay)
+            trace.attempt(step.host.name, refusal)
             if refusal is None:
                 return
+            held = relay.held or held
             view = self._view(call.service)
             step = decisions.failed(refusal, view, environment.now_ms())
             if isinstance(step, SendTo):
                 environment.metrics.retries.labels(refusal.kind.value).inc()
+        if held is not None and step.refusal.kind is ErrorKind.WORKER_FAILED:
+            await emit(held)
+            return
+        raise RefusedError(step.refusal)
+
+    def _retry_after_ms(self, refusal: Refusal, trace: "Trace") -> int:
+        """Spreads returns about the time when room is expected."""
+        environment = self._environment
+        wait_ms = max(MIN_RETRY_AFTER_MS, refusal.retry_after_ms)
+        left_ms = trace.left_ms(environment.now_ms())
+        wait_ms = min(wait_ms, RETRY_AFTER_SHARE * left_ms)
+        return max(1, round(wait_ms * environment.rng.uniform(0.7, 1.3)))
+
+    def _decisions(self, call: Call) -> Dispatch | KeyedDispatch:
+        redirects = self._environment.settings.retry.redirects
+        return dispatch(call, self.router, self._budget(call.service), redirects)
+
+    def _on_run(self, call: Call) -> None:
+        """Charges what a repeated run will ask of other services."""
+        self._fanout.run()
+        if not call.resent:
+            return
+        for service, count in self._fanout.per_run().items():
+            budget = self._budget(service)
+            if isinstance(budget, WindowBudget):
+                budget.charge(count)
 
     def _view(self, service: str) -> View:
         environment = self._environment
         hosts = environment.membership.of_service(service)
         return View(environment.store.snapshot, hosts)
 
-    def _budget(self, bound: BoundRoute) -> RetryBudget:
-        name = bound.service.service
-        if name not in self._budgets:
-            self._budgets[name] = RetryBudget(bound.service.retry_budget_permille)
-        return self._budgets[name]
+    def _budget(self, service: str) -> Budget:
+        environment = self._environment
+        settings = environment.settings.retry
+        budget = self._budgets.get(service)
+        if budget is None:
+            if settings.ratio:
+                budget = WindowBudget(
+                    settings.ratio * BUDGET_SHARE, 0.0, settings.window_ms
+                )
+            else:
+                found = environment.store.snapshot.services[service]
+                budget = RetryBudget(found.retry_budget_permille)
+            self._budgets[service] = budget
+        if isinstance(budget, WindowBudget):
+            # The share follows the largest fleet seen: hosts that a node no longer
+            # sees may still be alive and retry.
+            live = environment.membership.live_count
+            self._fleet_hosts = max(self._fleet_hosts, live)
+            budget.slack = settings.slack * BUDGET_SHARE / self._fleet_hosts
+            budget.advance(environment.now_ms())
+        return budget
 
     async def _attempt(
-        self, step: SendTo, request: WorkerRequest, emit: Emit
+        self, step: SendTo, request: WorkerRequest, relay: "_Relay"
     ) -> Refusal | None:
-        await trio.sleep(step.after_ms / 1_000)
+        if step.after_ms:
+            await trio.sleep(step.after_ms / 1_000)
         self.router.started(step.host.name)
-        relay = _Relay(self.router, step.host.name, self._environment, emit)
         try:
             with trio.move_on_after(step.patience_ms / 1_000) as patience:
                 relay.patience = patience
@@ -238,26 +332,91 @@
             exchange.close()
 
 
+class RefusedError(RequestError):
+    """A request that no worker answered.
+
+    Args:
+        refusal: what the caller is told.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.kind, refusal.detail)
+        self.refusal = refusal
+
+
+class Trace:
+    """What one log line tells of a request.
+
+    Args:
+        request_id: identity of the request.
+        started_ms: when it arrived, on the node's clock.
+    """
+
+    def __init__(self, request_id: str, started_ms: float) -> None:
+        self.outcome = ErrorKind.CANCELLED.value
+        self._request_id = request_id
+        self._started_ms = started_ms
+        self._route = ""
+        self._service = ""
+        self._version = 0
+        self._deadline_ms = 0.0
+        self._attempts: list[str] = []
+
+    def routed(self, bound: BoundRoute, call: Call) -> None:
+        """Notes where the request goes and by which version."""
+        self._route = bound.route.path
+        self._service = call.service
+        self._version = call.version
+        self._deadline_ms = call.deadline_ms
+
+    def attempt(self, host: str, refusal: Refusal | None) -> None:
+        """Notes one send and how it ended."""
+        kind = ANSWERED if refusal is None else refusal.kind.value
+        self._attempts.append(f"{host}:{kind}")
+
+    def left_ms(self, now_ms: float) -> float:
+        """Returns the time until the request's deadline."""
+        return max(0.0, self._deadline_ms - now_ms)
+
+    def log(self, log: EventLog, now_ms: float) -> None:
+        """Writes the line."""
+        log.request(
+            "request_ended",
+            self.outcome == ANSWERED,
+            request_id=self._request_id[:MAX_ID_CHARACTERS],
+            route=self._route,
+            service=self._service,
+            routed_version=self._version,
+            attempts=self._attempts,
+            outcome=self.outcome,
+            took_ms=round(now_ms - self._started_ms, 1),
+            timeout_ms=round(max(0.0, self._deadline_ms - self._started_ms)),
+        )
+
+
 class _Relay:
     """Passes one attempt's answer on to the caller.
 
     A refusal before the answer's start is kept for the retry's decision; after it,
-    the caller's answer is cut.
+    the caller's answer is cut. An answer in which the worker reports a failure is
+    held back while another worker may still be asked.
 
     Args:
         router: learns the gate's load.
-        host: name of the gate's host.
+        step: the attempt.
         environment: the node's central object.
         emit: takes the answer's events.
     """
 
     def __init__(
-        self, router: Router, host: str, environment: Environment, emit: Emit
+        self, router: Router, step: SendTo, environment: Environment, emit: Emit
     ) -> None:
         self.refusal: Refusal | None = None
+        self.held: ReplyStart | None = None
         self.patience: trio.CancelScope | None = None
         self._router = router
-        self._host = host
+        self._host = step.host.name
+        self._call = step.call
         self._environment = environment
         self._emit = emit
         self._started = False
@@ -268,12 +427,29 @@
         if load is not None:
             self._router.report(self._host, load, self._environment.now_ms())
         if isinstance(event, ReplyRefused) and not self._started:
-            self.refusal = Refusal(event.kind, event.detail, event.home, event.fenced)
+            self.refusal = Refusal(
+                event.kind,
+                event.detail,
+                event.home,
+                event.fenced,
+                event.retry_after_ms,
+            )
+            return
+        if isinstance(event, ReplyStart) and self._may_hold(event):
+            self.held = event
+            detail = f"the worker answered {event.status}"
+            self.refusal = Refusal(ErrorKind.WORKER_FAILED, detail)
             return
         self._started = True
         self.patience.deadline = math.inf
         await self._emit(event)
 
+    def _may_hold(self, event: ReplyStart) -> bool:
+        if event.status < _SERVER_ERROR or not event.last:
+            return False
+        idempotent = self._call.route_class is RouteClass.IDEMPOTENT
+        return idempotent and self._environment.settings.retry.ratio > 0
+
 
 def _number(request: EntryRequest, name: bytes, default: int) -> int:
     raw = request.header(name)
@@ -324,6 +500,10 @@
         resend_window_ms=int(call.resend_window_ms),
         fingerprint=call.fingerprint,
         fences=list(call.fences),
+        objective_ms=min(MAX_WIRE_MS, int(call.objective_ms - now_ms)),
+        priority=call.priority,
+        nested=call.nested,
+        resent=call.resent,
     )
 
 
@@ -346,4 +526,8 @@
         resend_window_ms=message.resend_window_ms,
         fingerprint=message.fingerprint,
         fences=tuple(message.fences),
+        objective_ms=now_ms + message.objective_ms,
+        priority=message.priority,
+        nested=message.nested,
+        resent=message.resent,
     )
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import typing as t
+import uuid
 
 import trio
 from cactushook import Admitted
@@ -16,6 +17,7 @@
 from cactushook import RequestError
 from cactushook import RouteClass
 from cactushook import Snapshot
+from cactushook.calls import Listing
 from cactushook.gatekeeping import Answered
 from cactushook.gatekeeping import Failed
 from cactushook.gatekeeping import Gatekeeper
@@ -28,6 +30,7 @@
 
 from . import wire
 from .environment import Environment
+from .headers import find
 from .streams import Emit
 from .streams import Headers
 from .streams import ReplyChunk
@@ -39,7 +42,21 @@
 from .worker import WorkerReply
 
 MAX_STORED_ANSWER_BYTES = 1_048_576
-TICK_MS = 50
+TICK_MS = 25
+# Half of the way back that an answer takes, kept from the worker's time.
+ANSWER_MARGIN_MS = 3
+CHECK_PERIOD_S = 0.25
+HEALTH_TIMEOUT_S = 1.0
+
+
+# Failures after which the backend server may have crashed or restarted.
+_DOUBTFUL = frozenset(
+    (
+        ErrorKind.WORKER_LOST,
+        ErrorKind.WORKER_UNREACHABLE,
+        ErrorKind.WORKER_REPLACED,
+    )
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,15 +110,19 @@
     def __init__(self, environment: Environment, nursery: trio.Nursery) -> None:
         self._environment = environment
         self._nursery = nursery
-        self._keeper = Gatekeeper(environment.membership.own)
+        listed = environment.settings.adapter is not None
+        self._keeper = Gatekeeper(environment.membership.own, needs_listing=listed)
+        self._checking = False
         self._verdicts: dict[str, GateVerdict] = {}
         self._waiting: dict[str, trio.Event] = {}
         self._keyed: dict[str, _KeyedRun] = {}
         self._crash_listeners: list[t.Callable[[CrashNews], None]] = []
+        self._run_listeners: list[t.Callable[[Call], None]] = []
         self._worker: Worker | None = None
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
         environment.board.snapshot.watch(self._on_snapshot)
         environment.board.leaving.watch(self._on_leaving)
+        environment.board.listing.watch(self._on_listing)
         environment.board.host_list_read.watch(self._on_host_list)
         environment.timers.every(TICK_MS, self._on_timer)
         environment.timers.on_pause(self._on_pause)
@@ -120,6 +141,10 @@
         """Calls back when a request may have taken its backend server down."""
         self._crash_listeners.append(listener)
 
+    def on_run(self, listener: t.Callable[[Call], None]) -> None:
+        """Calls back when a request is sent to the backend server."""
+        self._run_listeners.append(listener)
+
     def note_crash(self, news: CrashNews) -> None:
         """Takes in crash news from another gate of the service."""
         self._keeper.crashes.note(news, self._environment.now_ms())
@@ -160,7 +185,14 @@
         kind, detail = refusal.kind, refusal.detail
         self._environment.metrics.refusals.labels(kind.value, "gate").inc()
         await emit(
-            ReplyRefused(kind, detail, self.load(), refusal.home, refusal.fenced)
+            ReplyRefused(
+                kind,
+                detail,
+                self.load(),
+                refusal.home,
+                refusal.fenced,
+                refusal.retry_after_ms,
+            )
         )
 
     async def _serve_keyed(
@@ -236,6 +268,8 @@
     def _end(self, call: Call, outcome: Outcome) -> Refusal | None:
         ended = self._keeper.ended(call, outcome, self._environment.now_ms())
         self._settle(ended.verdicts)
+        if isinstance(outcome, Failed) and outcome.kind in _DOUBTFUL:
+            self._check_soon()
         for news in ended.crashes:
             for listener in self._crash_listeners:
                 listener(news)
@@ -250,8 +284,9 @@
     async def _forward(
         self, call: Call, request: WorkerRequest, emit: Emit | _Kept
     ) -> Answered:
-        remaining_s = (call.deadline_ms - self._environment.now_ms()) / 1_000
-        if remaining_s <= 0:
+        left_ms = call.deadline_ms - self._environment.now_ms()
+        remaining_s = left_ms / 1_000
+        if left_ms <= ANSWER_MARGIN_MS:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
         with trio.move_on_after(remaining_s) as scope:
             return await self._exchange(call, request, emit, scope)
@@ -268,7 +303,16 @@
     ) -> Answered:
         started_ms = self._environment.now_ms()
         worker = t.cast(Worker, self._worker)
-        told = request.with_timeout(call.deadline_ms - started_ms)
+        for listener in self._run_listeners:
+            listener(call)
+        names = self._environment.headers
+        left_ms = max(1, int(call.deadline_ms - started_ms - ANSWER_MARGIN_MS))
+        told = request.with_headers(
+            (
+                (names.timeout_ms, str(left_ms).encode()),
+                (names.target_instance, self._keeper.instance.encode()),
+            )
+        )
         async with worker.send(told) as reply:
             latency_ms = self._environment.now_ms() - started_ms
             if isinstance(emit, _Kept):
@@ -312,15 +356,92 @@
         await emit(ReplyStart(reply.status, reply.headers, part, False, self.load()))
 
     def _instance(self, headers: Headers) -> bytes:
-        name = self._environment.settings.worker.instance_header.lower().encode()
-        return next((value for key, value in headers if key.lower() == name), b"")
+        return find(headers, self._environment.headers.instance)
+
+    def _check_soon(self) -> None:
+        """Finds out whether the backend server crashed, unless that is under way."""
+        listed = self._environment.settings.adapter is not None
+        if listed and self._worker is not None and not self._checking:
+            self._checking = True
+            self._nursery.start_soon(self._check_worker)
+
+    async def _check_worker(self) -> None:
+        try:
+            worker = t.cast(Worker, self._worker)
+            if not await worker.probe():
+                self._on_down(worker)
+                while not await worker.probe():
+                    await trio.sleep(CHECK_PERIOD_S)
+                now_ms = self._environment.now_ms()
+                self._keeper.came_back(now_ms)
+                self._environment.log.info("worker_reachable")
+            await self._read_health(worker)
+            while self._keeper.is_cold(self._environment.now_ms()):
+                await trio.sleep(2 * CHECK_PERIOD_S)
+                await self._read_health(worker)
+        finally:
+            self._checking = False
+
+    def _on_down(self, worker: Worker) -> None:
+        environment = self._environment
+        worker.drop_idle()
+        environment.log.warning("worker_unreachable")
+        for news in self._keeper.went_down(environment.now_ms()):
+            for listener in self._crash_listeners:
+                listener(news)
+
+    async def _read_health(self, worker: Worker) -> None:
+        """Asks the backend server how long it stays cold."""
+        environment = self._environment
+        names = environment.headers
+        service = environment.store.snapshot.services.get(self._keeper.service)
+        if service is None or not names.cold_left_ms:
+            return
+        request_id = uuid.uuid4().hex.encode()
+        headers = ((b"host", environment.settings.worker.address.encode()),)
+        request = WorkerRequest("GET", service.health_path.encode(), headers, b"")
+        request = request.with_headers(((names.request_id, request_id),))
+        with trio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                async with worker.send(request, needs_id=False) as reply:
+                    async for _ in reply.body:
+                        pass
+                    told = find(reply.headers, names.cold_left_ms)
+            except RequestError as error:
+                environment.log.info("health_failed", reason=str(error))
+                return
+            left_ms = int(told) if told.isdigit() else 0
+            environment.log.info(
+                "health_read", status=reply.status, cold_left_ms=left_ms
+            )
+            self._keeper.told_cold(left_ms, environment.now_ms())
+
+    def _on_listing(self, listing: Listing | None) -> None:
+        before = self._keeper.instance
+        self._keeper.listed(listing, self._environment.now_ms())
+        if listing is not None and listing.instance != before:
+            if self._worker is not None:
+                self._worker.drop_idle()
+            self._set_up_worker()
+            self._check_soon()
+
+    def _set_up_worker(self) -> None:
+        environment = self._environment
+        service = environment.store.snapshot.services.get(self._keeper.service)
+        if self._worker is None and service is not None:
+            self._worker = Worker(
+                environment.settings.worker,
+                environment.headers,
+                service.limits.connections,
+            )
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
-        settings = self._environment.settings
+        was_out = self._keeper.domain_out
         self._keeper.configure(snapshot, self._environment.now_ms())
-        service = snapshot.services.get(settings.service)
-        if self._worker is None and service is not None:
-            self._worker = Worker(settings.worker, service.limits.connections)
+        self._set_up_worker()
+        if was_out and not self._keeper.domain_out:
+            self._keeper.may_be_cold(self._environment.now_ms())
+            self._check_soon()
 
     def _on_host_list(self, read: bool) -> None:
         if read:
--- a/packages/cactushook-node/src/cactushook_node/http_server.py
+++ b/packages/cactushook-node/src/cactushook_node/http_server.py
@@ -20,12 +20,12 @@
 from .streams import ReplyRefused
 from .streams import ReplyStart
 
-KEEP_ALIVE_S = 120
 LINGER_S = 1.0
 RECEIVE_BYTES = 65_536
 BAD_FRAMING = "bad_framing"
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _HEADER_OVERHEAD_BYTES = len(b": \r\n")
+_UNAVAILABLE = 503
 _BODILESS_STATUSES = (204, 304)
 
 
@@ -79,17 +79,29 @@
     Args:
         stream: the open connection.
         limits: what the caller may send.
+        is_leaving: tells whether answers announce the connection's end.
     """
 
-    def __init__(self, stream: trio.abc.Stream, limits: EdgeLimits) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        limits: EdgeLimits,
+        is_leaving: t.Callable[[], bool] = bool,
+    ) -> None:
         self._stream = stream
-        self._limits = limits
+        self.limits = limits
+        self._is_leaving = is_leaving
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._served = 0
         self.started = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a request has arrived."""
+        return self._http.their_state is h11.IDLE and not self._http.trailing_data[0]
+
     async def receive(self) -> HttpRequest | None:
         """Returns the next request, or None once the caller has no more.
 
@@ -98,7 +110,9 @@
                 answered with `refuse` and the connection closed.
         """
         self.started = False
-        idle_s = KEEP_ALIVE_S if self._served else self._slow_s
+        idle_s = self.limits.idle_timeout_ms / 1_000
+        if not self._served:
+            idle_s = max(idle_s, self._slow_s)
         with trio.move_on_after(idle_s) as scope:
             try:
                 return await self._receive(scope)
@@ -106,7 +120,7 @@
                 raise _protocol_error(error) from error
             except trio.BrokenResourceError:
                 return None
-        if self._http.their_state is h11.IDLE and not self._http.trailing_data[0]:
+        if self.is_idle:
             return None
         raise RequestError(
             ErrorKind.CALLER_TOO_SLOW, "the request did not arrive in time"
@@ -125,7 +139,7 @@
             case ReplyChunk(data, last):
                 await self._write(self._encode(data, last))
             case ReplyRefused(kind, detail):
-                await self.refuse(kind, detail)
+                await self.refuse(kind, detail, _retry_after(event))
 
     async def refuse(self, kind: ErrorKind, detail: str, extra: Headers = ()) -> None:
         """Answers with an error kind, or cuts the answer that has started."""
@@ -166,7 +180,7 @@
 
     @property
     def _slow_s(self) -> float:
-        return self._limits.slow_caller_timeout_ms / 1_000
+        return self.limits.slow_caller_timeout_ms / 1_000
 
     async def _receive(self, scope: trio.CancelScope) -> HttpRequest | None:
         head = await self._next_event(scope)
@@ -181,7 +195,7 @@
         return HttpRequest(head.method.decode(), bytes(head.target), headers, body)
 
     async def _body(self, scope: trio.CancelScope) -> bytes:
-        limit_bytes = self._limits.body_bytes
+        limit_bytes = self.limits.body_bytes
         body = bytearray()
         while True:
             event = await self._next_event(scope)
@@ -204,7 +218,7 @@
             self._http.receive_data(data)
 
     def _check_head(self, head: h11.Request) -> None:
-        limits = self._limits
+        limits = self.limits
         if len(head.target) > limits.target_bytes:
             raise RequestError(
                 ErrorKind.TARGET_TOO_LONG,
@@ -251,6 +265,8 @@
         self, status: int, headers: Headers, body: bytes, last: bool
     ) -> list[tuple[bytes, bytes]]:
         framed = list(headers)
+        if self._is_leaving() and (b"connection", b"close") not in framed:
+            framed.append((b"connection", b"close"))
         if not last or status in _BODILESS_STATUSES:
             return framed
         if any(name == b"content-length" for name, _ in headers):
@@ -288,6 +304,12 @@
     )
 
 
+def _retry_after(event: ReplyRefused) -> Headers:
+    if event.retry_after_ms <= 0 or ANSWERS[event.kind].status != _UNAVAILABLE:
+        return ()
+    return ((b"retry-after", f"{event.retry_after_ms / 1_000:.3f}".encode()),)
+
+
 def _protocol_error(error: h11.RemoteProtocolError) -> RequestError:
     if error.error_status_hint == 431:
         return RequestError(ErrorKind.HEADER_TOO_LARGE, "the headers are too large")
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -399,4 +399,5 @@
                 wire.load_of(message.load),
                 wire.home_of(message.home),
                 message.fenced,
+                message.retry_after_ms,
             )
--- a/packages/cactushook-node/src/cactushook_node/main.py
+++ b/packages/cactushook-node/src/cactushook_node/main.py
@@ -47,8 +47,8 @@
     try:
         settings = read_settings(options.settings)
         if options.command == "run":
-            logs.set_up(settings.log.level)
-            _run_node(settings)
+            writer = logs.set_up(settings.log.level)
+            _run_node(settings, options.settings, writer)
         else:
             print(f"ok: {settings.host} in {settings.domain} runs {settings.service}")
     except CactushookError as error:
@@ -57,17 +57,21 @@
     return 0
 
 
-def _run_node(settings: Settings) -> None:
+def _run_node(
+    settings: Settings, settings_file: pathlib.Path, writer: logs.LineWriter
+) -> None:
     _check_free(settings)
     # A full collection over the modules' objects would stop requests for 10 ms.
     gc.freeze()
     try:
-        trio.run(run_node, settings)
+        trio.run(run_node, settings, settings_file, writer)
     except* OSError as group:
         error = _first(group)
         raise CactushookError(
             ErrorKind.ADDRESS_IN_USE, f"the node stopped: {error}"
         ) from group
+    finally:
+        logs.finish(writer)
 
 
 def _check_free(settings: Settings) -> None:
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -1,13 +1,14 @@
 """Ties the controllers of one node together and runs them."""
 
+import pathlib
 import signal
 import typing as t
 
 import trio
 from cactushook import CrashNews
 from cactushook import HostState
-from cactushook.homes import LINGER_MS
 
+from . import adapters
 from . import wire
 from .admin import Admin
 from .distribution import Distribution
@@ -20,7 +21,9 @@
 from .joins import Joins
 from .link_pool import LinkPool
 from .links import Link
+from .logs import LineWriter
 from .platform import HttpPlatform
+from .replication import Replication
 from .settings import Settings
 from .streams import ReplyChunk
 from .streams import ReplyEvent
@@ -29,6 +32,7 @@
 from .streams import WorkerRequest
 
 READY_CHECK_MS = 50
+LOG_PERIOD_MS = 50
 
 
 class Node:
@@ -45,21 +49,36 @@
         self.links = LinkPool(environment, self, nursery)
         self.gate = Gate(environment, nursery)
         self.entry = Entry(environment, self.links, self.gate)
+        adapter = adapters.load(environment.settings, environment.metrics)
+        self._has_adapter = adapter is not None
+        self.distribution: Distribution | Replication
+        if adapter is None:
+            self.distribution = self._own_distribution()
+        else:
+            self.distribution = Replication(environment, adapter, self.links, nursery)
+        self.edge = Edge(environment, self.entry)
+        self.admin = Admin(environment, self.entry.router)
+        self._joins: Joins | None = None
+        if adapter is None:
+            self._joins = Joins(environment, self.gate, self.distribution, nursery)
+        self._started_ms = environment.now_ms()
+        self.gate.on_crash(self._on_crash)
+
+    def _own_distribution(self) -> Distribution:
+        environment = self.environment
         platform = HttpPlatform(
             environment.settings.platform,
             environment.metrics,
             environment.board.source_reachable,
         )
-        self.distribution = Distribution(environment, platform, self.links, nursery)
-        self.edge = Edge(environment, self.entry)
-        self.admin = Admin(environment, self.entry.router)
-        self._joins = Joins(environment, self.gate, self.distribution, nursery)
-        self._started_ms = environment.now_ms()
-        self.gate.on_crash(self._on_crash)
+        return Distribution(environment, platform, self.links, self._nursery)
 
     async def run(self) -> None:
         """Starts all parts and waits for a signal to stop."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        stops = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
+        reloads = trio.open_signal_receiver(signal.SIGHUP)
+        with stops as signals, reloads as hangups:
+            self._nursery.start_soon(self._reload_at_signal, hangups)
             await self._start()
             await anext(signals)
             self._nursery.start_soon(self._end_at_second, signals)
@@ -114,9 +133,9 @@
                 self.gate.note_crash(
                     CrashNews(message.service_name, message.fingerprint, message.host)
                 )
-            case wire.JoinMessage():
+            case wire.JoinMessage() if self._joins is not None:
                 await self._joins.on_join(link, message)
-            case wire.JoinedMessage():
+            case wire.JoinedMessage() if self._joins is not None:
                 self._joins.on_joined(message)
             case _:
                 self.gate.refreshed()
@@ -139,7 +158,11 @@
         if not decided.ready:
             return Readiness(False, decided.reason)
         waited_ms = now_ms - self._started_ms
-        if self.gate.is_home or waited_ms > self.environment.settings.boot_wait_ms:
+        if (
+            self._has_adapter
+            or self.gate.is_home
+            or waited_ms > self.environment.settings.boot_wait_ms
+        ):
             return Readiness(True, "ready")
         return Readiness(False, "joining the homes of keys")
 
@@ -163,11 +186,16 @@
         environment.membership.change_state(HostState.LEAVING)
         with trio.move_on_after(environment.settings.drain_limit_ms / 1_000):
             await self.distribution.announce_own()
-            await trio.sleep(LINGER_MS / 1_000)
+            await trio.sleep(environment.settings.linger_ms / 1_000)
+            self.edge.stop_accepting()
             while not (self.gate.idle and self.entry.idle):
                 await trio.sleep(0.02)
         environment.log.info("stopped")
 
+    async def _reload_at_signal(self, hangups: t.AsyncIterator[int]) -> None:
+        async for _ in hangups:
+            self.environment.reload("signal")
+
     async def _end_at_second(self, signals: t.AsyncIterator[int]) -> None:
         await anext(signals)
         self._nursery.cancel_scope.cancel()
@@ -194,10 +222,15 @@
                 load=wire.load_report(load or gate.load()),
                 home=[wire.host_entry(home)] if home is not None else [],
                 fenced=fenced,
+                retry_after_ms=event.retry_after_ms,
             )
 
 
-async def run_node(settings: Settings) -> None:
+async def run_node(
+    settings: Settings, settings_file: pathlib.Path, writer: LineWriter
+) -> None:
     """Runs one node until it is told to stop."""
+    environment = Environment(settings, settings_file)
+    environment.timers.every(LOG_PERIOD_MS, lambda now_ms: writer.pump(), first_ms=0)
     async with trio.open_nursery() as nursery:
-        await Node(Environment(settings), nursery).run()
+        await Node(environment, nursery).run()
--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -9,6 +9,7 @@
 from cactushook import ConfigError
 from cactushook import ErrorKind
 from cactushook import jsonc
+from cactushook.homes import LINGER_MS
 from cactushook.nodes import Config
 from cactushook.nodes import Name
 from cactushook.nodes import TimeoutMs
@@ -37,6 +38,64 @@
     connect_timeout_ms: TimeoutMs = 500
 
 
+class HeaderSettings(Config, kw_only=True):
+    """Names of headers; one that is left empty is neither read nor set.
+
+    Attributes:
+        request_id: identity of a request; callers send it, backend servers echo it.
+        timeout_ms: milliseconds that the sender waits.
+        hops: services that the request has passed through.
+        attempts: sends that are left.
+        caller_service: service of the host where the request began.
+        target_instance: the start of the backend server that may run the request.
+        signature: an answer that succeeds without it is not accepted.
+        not_executed: states that the backend server did not run the request.
+        cold_left_ms: how much longer the backend server stays cold.
+    """
+
+    request_id: str = ""
+    timeout_ms: str = "cactushook-timeout-ms"
+    hops: str = "cactushook-hops"
+    attempts: str = "cactushook-attempts-left"
+    caller_service: str = ""
+    target_instance: str = ""
+    signature: str = ""
+    not_executed: str = ""
+    cold_left_ms: str = ""
+
+
+class RetrySettings(Config, kw_only=True):
+    """Bounds on requests that an entry sends again.
+
+    Attributes:
+        redirects: gates that may be asked after one refused and sent nothing on.
+        ratio: retries per request of the window, over the whole fleet; 0 takes the
+            budget that the team file gives.
+        slack: retries of the whole fleet besides, in any window.
+        window_ms: length of the window.
+    """
+
+    redirects: t.Annotated[int, msgspec.Meta(ge=0, le=10)] = 0
+    ratio: t.Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    slack: t.Annotated[float, msgspec.Meta(ge=0, le=100_000)] = 10.0
+    window_ms: TimeoutMs = 10_000
+
+
+class AdapterSettings(Config, kw_only=True):
+    """A module that connects the node with a platform of another kind.
+
+    Attributes:
+        module: name of a Python module that has ``create``.
+        drain_ms: how long a host that vanished from the list while the platform was
+            away is still taken as live after its return.
+        cold_ms: how long a backend server is taken as cold when it may have restarted.
+    """
+
+    module: t.Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9_.]*$")]
+    drain_ms: TimeoutMs = 2_000
+    cold_ms: TimeoutMs = 3_000
+
+
 class PlatformSettings(Config, kw_only=True):
     """The platform's configuration service.
 
@@ -69,6 +128,7 @@
         hops: services that a request may pass through.
         slow_caller_timeout_ms: longest wait for a whole request, or for the caller
             to take in one part of its answer.
+        idle_timeout_ms: how long a caller's connection may stay idle.
     """
 
     header_bytes: Bytes = 32_768
@@ -79,6 +139,7 @@
     connections: Count = 2_000
     hops: Count = 24
     slow_caller_timeout_ms: TimeoutMs = 10_000
+    idle_timeout_ms: TimeoutMs = 120_000
 
 
 class LogSettings(Config, kw_only=True):
@@ -103,9 +164,16 @@
         platform: the platform's configuration service.
         peers: nodes to ask at the start, before the host list is known.
         drain_limit_ms: longest wait for running work at a planned stop.
+        linger_ms: how long a node that stops still takes requests, until callers
+            have seen that it is not ready.
         gossip_period_ms: time between exchanges with a random peer.
         boot_wait_ms: longest wait for peers before the node is ready.
         seed: seed of the node's random choices; 0 takes one from the system.
+        metrics_listen: a further address of the admin pages, none by default.
+        ready_path: path on the admin address that tells whether the node takes work.
+        headers: names of headers.
+        retry: bounds on requests that are sent again.
+        adapter: takes the place of the platform's own protocol.
     """
 
     host: t.Annotated[str, msgspec.Meta(min_length=1, max_length=253)]
@@ -122,9 +190,15 @@
     limits: EdgeLimits = EdgeLimits()
     log: LogSettings = LogSettings()
     drain_limit_ms: TimeoutMs = 20_000
+    linger_ms: TimeoutMs = LINGER_MS
     gossip_period_ms: TimeoutMs = 1_000
     boot_wait_ms: TimeoutMs = 2_000
     seed: int = 0
+    metrics_listen: Address | None = None
+    ready_path: str = "/readyz"
+    headers: HeaderSettings = HeaderSettings()
+    retry: RetrySettings = RetrySettings()
+    adapter: AdapterSettings | None = None
 
 
 def read_settings(path: pathlib.Path) -> Settings:
--- a/packages/cactushook-node/src/cactushook_node/streams.py
+++ b/packages/cactushook-node/src/cactushook_node/streams.py
@@ -26,10 +26,10 @@
     headers: Headers
     body: bytes
 
-    def with_timeout(self, timeout_ms: float) -> "WorkerRequest":
-        """Returns the request with the time left, for calls that it leads to."""
-        left = (TIMEOUT_HEADER, str(int(timeout_ms)).encode())
-        return dataclasses.replace(self, headers=(*self.headers, left))
+    def with_headers(self, added: Headers) -> "WorkerRequest":
+        """Returns the request with further headers; those without a name are left."""
+        named = (header for header in added if header[0])
+        return dataclasses.replace(self, headers=(*self.headers, *named))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,12 +60,12 @@
     load: Load | None = None
     home: HostRecord | None = None
     fenced: bool = False
+    retry_after_ms: int = 0
 
 
 ReplyEvent: t.TypeAlias = ReplyStart | ReplyChunk | ReplyRefused
 Emit: t.TypeAlias = t.Callable[[ReplyEvent], t.Awaitable[None]]
 
-TIMEOUT_HEADER = b"cactushook-timeout-ms"
 HOP_BY_HOP = frozenset(
     (
         b"connection",
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -46,6 +46,10 @@
 JoinedMessage = _messages.JoinedMessage
 PingMessage = _messages.PingMessage
 RetireMessage = _messages.RetireMessage
+StoreItem = _messages.StoreItem
+RevisionMessage = _messages.RevisionMessage
+ItemsPullMessage = _messages.ItemsPullMessage
+ItemsMessage = _messages.ItemsMessage
 Envelope = _messages.Envelope
 
 Message: t.TypeAlias = t.Any
@@ -59,6 +63,9 @@
     BusyMessage,
     PingMessage,
     RetireMessage,
+    RevisionMessage,
+    ItemsPullMessage,
+    ItemsMessage,
 )
 
 _FRAME_HEAD = struct.Struct("!II")
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -49,6 +49,11 @@
   15: i64 resend_window_ms,
   16: string fingerprint,
   17: list<string> fences = [],
+  // Time left until an answer stops being of full use.
+  18: i32 objective_ms = 2147483647,
+  19: i32 priority = 0,
+  20: bool nested = false,
+  21: bool resent = false,
 }
 
 // Start of a worker's answer; `last` when the body is whole.
@@ -82,6 +87,8 @@
   5: list<HostEntry> home = [],
   // Whether the sender promises not to run the key from now on.
   6: bool fenced = false,
+  // When room is expected; 0 if nothing is known.
+  7: i32 retry_after_ms = 0,
 }
 
 // The caller went away or stopped waiting.
@@ -168,6 +175,32 @@
   1: bool answer,
 }
 
+// One value of the platform's store, or the news of its removal.
+struct StoreItem {
+  1: string key,
+  2: binary value,
+  3: i64 revision,
+  4: bool deleted,
+}
+
+// The store's revision that the sender has read up to.
+struct RevisionMessage {
+  1: i64 revision,
+  2: bool answer,
+}
+
+// Asks for what changed after a revision.
+struct ItemsPullMessage {
+  1: i64 after,
+}
+
+// What changed after `base`, up to `revision`; all that there is with `base` 0.
+struct ItemsMessage {
+  1: i64 base,
+  2: i64 revision,
+  3: list<StoreItem> items,
+}
+
 union Envelope {
   1: Hello hello,
   2: CallMessage call,
@@ -188,4 +221,7 @@
   17: JoinedMessage joined,
   18: PingMessage ping,
   19: RetireMessage retire,
+  20: RevisionMessage revision,
+  21: ItemsPullMessage items_pull,
+  22: ItemsMessage items,
 }
--- a/packages/cactushook-node/src/cactushook_node/worker.py
+++ b/packages/cactushook-node/src/cactushook_node/worker.py
@@ -10,16 +10,23 @@
 from cactushook import ErrorKind
 from cactushook import RequestError
 
+from .headers import find
+from .headers import HeaderNames
 from .settings import WorkerSettings
 from .streams import end_to_end
 from .streams import Headers
 from .streams import WorkerRequest
 
 KEEPALIVE_EXPIRY_S = 60
+# Share of the idle time told by the backend server after which a connection is
+# no longer used, so that its close does not cross a request.
+KEEPALIVE_SHARE = 0.8
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+MAX_STRAY_ANSWERS = 4
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 _REPLACED_HEADERS = frozenset((b"content-length", b"expect"))
+_MISDIRECTED = 421
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,45 +49,75 @@
 
     Args:
         settings: where the backend server is.
+        names: header names.
         connections: most open connections.
     """
 
-    def __init__(self, settings: WorkerSettings, connections: int) -> None:
+    def __init__(
+        self, settings: WorkerSettings, names: HeaderNames, connections: int
+    ) -> None:
         self._settings = settings
+        self._names = names
         self._max_connections = connections
         self._open = 0
         self._idle: list[_Connection] = []
 
     @contextlib.asynccontextmanager
-    async def send(self, request: WorkerRequest) -> t.AsyncIterator[WorkerReply]:
+    async def send(
+        self, request: WorkerRequest, needs_id: bool = True
+    ) -> t.AsyncIterator[WorkerReply]:
         """Sends a request and gives its reply.
 
+        Args:
+            request: what to send.
+            needs_id: whether the answer must bear the request's id.
+
         Raises:
-            RequestError: ``WORKER_UNREACHABLE`` if the request was certainly not
-                sent, ``WORKER_LOST`` if it may have run.
+            RequestError: ``WORKER_UNREACHABLE``, ``WORKER_REJECTED`` or
+                ``WORKER_REPLACED`` if the request certainly did not run,
+                ``WORKER_LOST`` or ``ANSWER_INVALID`` if it may have.
         """
-        data, http = _encoded(request, self._settings.address)
+        encoded = _Encoded(request, self._settings.address)
         connection = await self._connection()
         reusable = False
         try:
-            yield await connection.exchange(http, data)
+            yield await connection.exchange(encoded, self._names, needs_id)
             reusable = connection.finished
         except (trio.BrokenResourceError, h11.RemoteProtocolError) as error:
             raise RequestError(
                 ErrorKind.WORKER_LOST, f"connection lost: {error!r}"
             ) from error
+        except RequestError as error:
+            reusable = error.kind is ErrorKind.WORKER_REJECTED and connection.finished
+            raise
         finally:
             if reusable:
                 self._idle.append(connection)
             else:
                 self._discard(connection)
 
+    async def probe(self) -> bool:
+        """Tells whether the backend server accepts a connection; keeps it."""
+        try:
+            self._idle.append(await self._open_one())
+        except RequestError:
+            return False
+        return True
+
+    def drop_idle(self) -> None:
+        """Closes all connections that no request uses."""
+        while self._idle:
+            self._discard(self._idle.pop())
+
     async def _connection(self) -> "_Connection":
         while self._idle:
             connection = self._idle.pop()
             if connection.usable:
                 return connection
             self._discard(connection)
+        return await self._open_one()
+
+    async def _open_one(self) -> "_Connection":
         if self._open >= self._max_connections:
             raise RequestError(
                 ErrorKind.WORKER_UNREACHABLE,
@@ -108,6 +145,40 @@
         self._open -= 1
 
 
+class _Encoded:
+    """A request's bytes and the parsers of the answers to it."""
+
+    def __init__(self, request: WorkerRequest, address: str) -> None:
+        headers = [h for h in request.headers if h[0] not in _REPLACED_HEADERS]
+        if all(name != b"host" for name, _ in headers):
+            headers.append((b"host", address.encode()))
+        if request.body or request.method not in _BODILESS_METHODS:
+            headers.append((b"content-length", str(len(request.body)).encode()))
+        self.headers: Headers = tuple(headers)
+        self._request = request
+        self.data, self.first_parser = self._encode()
+
+    def parser(self) -> h11.Connection:
+        """Returns a parser for a further answer on the same connection."""
+        return self._encode()[1]
+
+    def _encode(self) -> tuple[bytes, h11.Connection]:
+        request = self._request
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        try:
+            head = h11.Request(
+                method=request.method, target=request.target, headers=self.headers
+            )
+            data = http.send(head)
+            if request.body:
+                data += http.send(h11.Data(data=request.body))
+            return data + http.send(h11.EndOfMessage()), http
+        except h11.LocalProtocolError as error:
+            raise RequestError(
+                ErrorKind.REQUEST_INVALID, f"cannot be sent on: {error}"
+            ) from error
+
+
 class _Connection:
     """One connection to the backend server."""
 
@@ -115,6 +186,8 @@
         self._stream = stream
         self._http: h11.Connection | None = None
         self._idle_since_s = trio.current_time()
+        self._expiry_s: float = KEEPALIVE_EXPIRY_S
+        self._unsent = b""
         self._poll = select.poll()
         self._poll.register(stream.socket.fileno(), select.POLLIN)
 
@@ -122,27 +195,80 @@
     def usable(self) -> bool:
         """Whether the other end has neither closed nor said anything unasked."""
         idle_s = trio.current_time() - self._idle_since_s
-        return idle_s < KEEPALIVE_EXPIRY_S and not self._poll.poll(0)
+        return idle_s < self._expiry_s and not self._poll.poll(0)
 
     @property
     def finished(self) -> bool:
-        """Whether the answer was read to its end and another may follow."""
+        """Whether the answer was read to its end and another may follow.
+
+        Bytes behind an answer belong to no request; they spoil the connection.
+        """
         http = self._http
+        if http is None or self._unsent or http.trailing_data[0]:
+            return False
         return http.our_state is h11.DONE and http.their_state is h11.DONE
 
     def close(self) -> None:
         """Closes the connection at once."""
         self._stream.socket.close()
 
-    async def exchange(self, http: h11.Connection, data: bytes) -> WorkerReply:
-        """Sends a request and returns its reply."""
-        self._http = http
-        await self._stream.send_all(data)
+    async def exchange(
+        self, encoded: _Encoded, names: HeaderNames, needs_id: bool
+    ) -> WorkerReply:
+        """Sends a request and returns its reply.
+
+        Answers to earlier requests, known by their ids, are passed over.
+        """
+        request_id = find(encoded.headers, names.request_id)
+        self._http = encoded.first_parser
+        await self._send(encoded.data)
+        for _ in range(MAX_STRAY_ANSWERS):
+            response, headers = await self._head()
+            if not needs_id:
+                return WorkerReply(response.status_code, headers, self._body())
+            if not request_id or find(headers, names.request_id) == request_id:
+                _check_answer(response.status_code, headers, names)
+                return WorkerReply(response.status_code, headers, self._body())
+            await self._skip(encoded)
+        raise RequestError(
+            ErrorKind.ANSWER_INVALID, "the connection carries answers to other requests"
+        )
+
+    async def _send(self, data: bytes) -> None:
+        """Sends what the connection takes in at once, the rest beside reading."""
+        try:
+            sent = await self._stream.socket.send(data)
+        except OSError as error:
+            raise trio.BrokenResourceError(f"cannot send: {error}") from error
+        self._unsent = data[sent:]
+
+    async def _head(self) -> tuple[h11.Response, Headers]:
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._note_expiry(event.headers)
                 headers = end_to_end(event.headers)
-                return WorkerReply(event.status_code, headers, self._body())
+                if find(headers, b"content-encoding"):
+                    raise RequestError(
+                        ErrorKind.ANSWER_INVALID, "the answer's body is encoded"
+                    )
+                return event, headers
+            if not isinstance(event, h11.InformationalResponse):
+                raise RequestError(
+                    ErrorKind.ANSWER_INVALID, "the connection ended before an answer"
+                )
+
+    async def _skip(self, encoded: _Encoded) -> None:
+        async for _ in self._body():
+            pass
+        http = t.cast(h11.Connection, self._http)
+        if http.their_state is not h11.DONE:
+            raise RequestError(
+                ErrorKind.WORKER_LOST, "the connection ended with another answer"
+            )
+        self._http = encoded.parser()
+        if http.trailing_data[0]:
+            self._http.receive_data(http.trailing_data[0])
 
     async def _body(self) -> t.AsyncIterator[bytes]:
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
@@ -150,28 +276,55 @@
         self._idle_since_s = trio.current_time()
 
     async def _next_event(self) -> t.Any:
-        while (event := self._http.next_event()) is h11.NEED_DATA:
-            self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        http = t.cast(h11.Connection, self._http)
+        while (event := http.next_event()) is h11.NEED_DATA:
+            if self._unsent:
+                await self._send_or_wait()
+            http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
         return event
 
+    async def _send_or_wait(self) -> None:
+        """Sends the rest of the request, or returns once an answer arrives."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_rest, nursery.cancel_scope)
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            nursery.cancel_scope.cancel()
+
+    async def _send_rest(self, scope: trio.CancelScope) -> None:
+        while self._unsent:
+            try:
+                sent = await self._stream.socket.send(self._unsent)
+            except OSError:
+                # What the other end said before it closed can still be read.
+                break
+            self._unsent = self._unsent[sent:]
+        scope.cancel()
+
+    def _note_expiry(self, headers: t.Iterable[tuple[bytes, bytes]]) -> None:
+        for name, value in headers:
+            if name == b"keep-alive":
+                self._expiry_s = KEEPALIVE_SHARE * _told_timeout_s(value)
+
 
-def _encoded(request: WorkerRequest, address: str) -> tuple[bytes, h11.Connection]:
-    """Returns a request's bytes and the parser of its answer."""
-    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-    headers = [h for h in request.headers if h[0] not in _REPLACED_HEADERS]
-    if all(name != b"host" for name, _ in headers):
-        headers.append((b"host", address.encode()))
-    if request.body or request.method not in _BODILESS_METHODS:
-        headers.append((b"content-length", str(len(request.body)).encode()))
-    try:
-        head = h11.Request(
-            method=request.method, target=request.target, headers=headers
+def _told_timeout_s(value: bytes) -> float:
+    """Returns the idle time in a ``Keep-Alive`` header."""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return min(float(number), KEEPALIVE_EXPIRY_S)
+    return KEEPALIVE_EXPIRY_S
+
+
+def _check_answer(status: int, headers: Headers, names: HeaderNames) -> None:
+    """Raises for answers that are not the backend server's word on the request."""
+    if status == _MISDIRECTED and names.target_instance:
+        raise RequestError(
+            ErrorKind.WORKER_REPLACED, "another start of the backend server answered"
         )
-        data = http.send(head)
-        if request.body:
-            data += http.send(h11.Data(data=request.body))
-        return data + http.send(h11.EndOfMessage()), http
-    except h11.LocalProtocolError as error:
+    if find(headers, names.not_executed):
         raise RequestError(
-            ErrorKind.REQUEST_INVALID, f"cannot be sent on: {error}"
-        ) from error
+            ErrorKind.WORKER_REJECTED, f"the backend server answered {status} unrun"
+        )
+    succeeded = 200 <= status < 300
+    if succeeded and names.signature and not find(headers, names.signature):
+        raise RequestError(ErrorKind.ANSWER_INVALID, "the answer is not signed")
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -18,8 +18,9 @@
 import uuid
 
 import trio
-from cactushook_node.asgi import http_config
-from cactushook_node.asgi import serve_http
+
+from standins.asgi import http_config
+from standins.asgi import serve_http
 
 MEGABYTE = bytes(range(256)) * 4096
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,9 +11,10 @@
 import urllib.parse
 
 import trio
-from cactushook_node.asgi import answer
-from cactushook_node.asgi import http_config
-from cactushook_node.asgi import serve_http
+
+from standins.asgi import answer
+from standins.asgi import http_config
+from standins.asgi import serve_http
 
 POLL_S = 0.02
 
