Spend repeats where they help; keep large answers near; end lapsed records in time

Tests: patterns of load in virtual time, answers that are not the backend server's word, the store under faults against a stand-in, records from another writer. The suite of platform/ runs with the others.

--- a/features/run.py
+++ b/features/run.py
@@ -13,6 +13,8 @@
 from behave.runner import Runner
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+PLATFORM = ROOT / "platform"
+SUITES = (ROOT / "features", PLATFORM / "features")
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 
 
@@ -29,17 +31,29 @@
         yield from feature.walk_scenarios()
 
 
-def main(arguments: list[str]) -> int:
-    """Runs the features given (all by default) and returns the exit status."""
-    config = Configuration(
-        command_args=["--no-capture", "--format=progress", *arguments]
-    )
-    if not config.paths:
-        config.paths = [str(ROOT / "features")]
+def run_paths(paths: list[str]) -> tuple[bool, list[t.Any]]:
+    """Runs the features below paths; returns whether it broke off and all scenarios."""
+    config = Configuration(command_args=["--no-capture", "--format=progress", *paths])
     runner = Runner(config)
     aborted = runner.run() and runner.aborted
+    return aborted, list(all_scenarios(runner))
+
+
+def _by_suite(paths: list[str]) -> list[list[str]]:
+    """Groups paths by the suite whose steps they need."""
+    platform = [path for path in paths if path.startswith("platform")]
+    others = [path for path in paths if path not in platform]
+    return [group for group in (others, platform) if group]
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the features given (all by default) and returns the exit status."""
+    sys.path.append(str(PLATFORM))
+    groups = _by_suite(arguments) if arguments else [[str(path)] for path in SUITES]
+    results = [run_paths(paths) for paths in groups]
+    aborted = any(broken for broken, _ in results)
     known = known_red()
-    scenarios = list(all_scenarios(runner))
+    scenarios = [scenario for _, found in results for scenario in found]
     passed = [s for s in scenarios if s.status == Status.passed]
     red = [s for s in scenarios if s.status.is_failure() or s.status.is_error()]
     untested = [s for s in scenarios if s not in passed and s not in red]
--- /dev/null
+++ b/features/steps/overload_patterns.py
@@ -0,0 +1,506 @@
+"""Steps on patterns of load, in virtual time."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from cactushook import Admission
+from cactushook import Admitted
+from cactushook import Call
+from cactushook import Dropped
+from cactushook import EMPTY_SNAPSHOT
+from cactushook import ErrorKind
+from cactushook import HostRecord
+from cactushook import HostState
+from cactushook import Limits
+from cactushook import Queued
+from cactushook import Refusal
+from cactushook import Route
+from cactushook import RouteClass
+from cactushook import Router
+from cactushook import TeamFile
+from cactushook.calls import Listing
+from cactushook.calls import Load as GateLoad
+from cactushook.dispatch import Dispatch
+from cactushook.dispatch import Refuse
+from cactushook.dispatch import SendTo
+from cactushook.dispatch import View
+from cactushook.gatekeeping import Gatekeeper
+from cactushook.nodes import SplitPart
+from cactushook.publication import Head
+from cactushook.repeats import Fanout
+from cactushook.retries import WindowBudget
+from cactushook.routing import BULKY_SPILL_RATIO
+from cactushook.routing import SPILL_RATIO
+from cactushook.snapshot import bind
+from cactushook.snapshot import Snapshot
+from cactushook.splits import Splits
+
+START_MS = 60_000.0
+DEADLINE_MS = 1_000.0
+ids = itertools.count()
+
+
+def request(now_ms, objective_ms=400.0, **fields):
+    return Call(
+        f"q{next(ids)}",
+        "s",
+        RouteClass.IDEMPOTENT,
+        now_ms + fields.pop("left_ms", DEADLINE_MS),
+        1,
+        objective_ms=now_ms + objective_ms,
+        **fields,
+    )
+
+
+@dataclasses.dataclass
+class Load:
+    """Drives one gate in virtual time; each admitted request takes its time."""
+
+    gate: Admission
+    service_ms: float
+    now_ms: float = START_MS
+
+    def __post_init__(self):
+        self.ends = []
+        self.arrived_ms = {}
+        self.started_ms = {}
+        self.refused = {}
+        for _ in range(60):
+            self.offer()
+            self.advance(self.now_ms + self.service_ms)
+        self.started_ms.clear()
+        self.arrived_ms.clear()
+
+    def offer(self, **fields):
+        call = request(self.now_ms, **fields)
+        self.arrived_ms[call.request_id] = self.now_ms
+        verdicts = self.gate.offer(call, self.now_ms)
+        self.settle(verdicts)
+        return verdicts[-1]
+
+    def advance(self, until_ms, step_ms=5.0):
+        while self.now_ms < until_ms:
+            self.now_ms = min(until_ms, self.now_ms + step_ms)
+            while self.ends and self.ends[0][0] <= self.now_ms:
+                _, name = heapq.heappop(self.ends)
+                self.settle(self.gate.release(name, self.now_ms))
+            self.settle(self.gate.expire(self.now_ms))
+
+    def settle(self, verdicts):
+        for verdict in verdicts:
+            name = verdict.call.request_id
+            if isinstance(verdict, Admitted):
+                self.started_ms[name] = self.now_ms
+                heapq.heappush(self.ends, (self.now_ms + self.service_ms, name))
+            elif isinstance(verdict, Dropped):
+                self.refused[name] = (self.now_ms, verdict.refusal)
+
+
+def limits(slots, queue=200, **fields):
+    return Limits(
+        slots=slots,
+        connections=200,
+        queue_length=queue,
+        queue_timeout_ms=600_000,
+        ramp_ms=1,
+        **fields,
+    )
+
+
+@given("a gate with {slots:d} slots whose answers take {service_ms:d} ms")
+def gate(context, slots, service_ms):
+    context.load = Load(Admission(limits(slots), 0.0), service_ms)
+
+
+@given("a gate with {slots:d} slots and a queue of {queue:d} whose answers take 10 ms")
+def short_gate(context, slots, queue):
+    context.load = Load(Admission(limits(slots, queue), 0.0), 10)
+
+
+@when(
+    "{count:d} requests with an objective of {objective_ms:d} ms arrive at the same "
+    "moment"
+)
+def burst(context, count, objective_ms):
+    load = context.load
+    context.verdicts = [load.offer(objective_ms=objective_ms) for _ in range(count)]
+    load.advance(load.now_ms + 2_000)
+
+
+@then("every request that is refused is refused at the moment of its arrival")
+def refused_at_once(context):
+    load = context.load
+    assert load.refused
+    for name, (at_ms, _) in load.refused.items():
+        assert at_ms == load.arrived_ms[name], name
+
+
+@then("every request that is admitted starts by {limit_ms:d} ms after its arrival")
+def starts_by(context, limit_ms):
+    load = context.load
+    assert load.started_ms
+    for name, at_ms in load.started_ms.items():
+        assert at_ms - load.arrived_ms[name] <= limit_ms, name
+
+
+@then("each refusal tells when room is expected")
+def tells_when(context):
+    for _, refusal in context.load.refused.values():
+        assert refusal.retry_after_ms > 0, refusal
+
+
+@when(
+    "{rate:d} requests a second with an objective of {objective_ms:d} ms arrive for "
+    "10 s"
+)
+def steady(context, rate, objective_ms):
+    load = context.load
+    context.objective_ms = objective_ms
+    context.length_ms = 10_000
+    for _ in range(rate * 10):
+        load.offer(objective_ms=objective_ms)
+        load.advance(load.now_ms + 1_000 / rate)
+
+
+@then("at least {share:d} of 100 slots' worth of answers are in time")
+def in_time(context, share):
+    load = context.load
+    possible = load.gate.limits.slots * context.length_ms / load.service_ms
+    waits = [at - load.arrived_ms[name] for name, at in load.started_ms.items()]
+    timely = sum(wait + load.service_ms <= context.objective_ms for wait in waits)
+    assert timely >= share / 100 * possible, (timely, possible)
+
+
+@then("no request waits longer than {limit_ms:d} ms")
+def no_long_wait(context, limit_ms):
+    load = context.load
+    ends = [*load.started_ms.items(), *((n, at) for n, (at, _) in load.refused.items())]
+    assert max(at - load.arrived_ms[name] for name, at in ends) <= limit_ms
+
+
+@when(
+    "a request is offered 1 ms after its objective of {objective_ms:d} ms, "
+    "with {left_ms:d} ms left"
+)
+def late(context, objective_ms, left_ms):
+    context.late = {"objective_ms": -1.0, "left_ms": left_ms}
+    assert isinstance(context.load.offer(), Admitted)
+
+
+@then("it waits while nobody else does")
+def late_waits(context):
+    verdict = context.load.offer(**context.late)
+    assert isinstance(verdict, Queued), verdict
+    context.load.gate.cancel(verdict.call.request_id)
+
+
+@then("it is refused behind {count:d} requests that wait")
+def late_refused(context, count):
+    for _ in range(count):
+        assert isinstance(context.load.offer(), Queued)
+    assert isinstance(context.load.offer(**context.late), Dropped)
+
+
+@when("a request runs and requests of priority 0, 1 and a nested one wait")
+def three_wait(context):
+    load = context.load
+    load.offer()
+    fields = ({"priority": 1}, {"priority": 0}, {"priority": 2, "nested": True})
+    context.waiting = [load.offer(**item).call.request_id for item in fields]
+
+
+@then("the freed slots go to the nested one, then to priority 0, then to 1")
+def in_order(context):
+    load = context.load
+    load.advance(load.now_ms + 1_000)
+    order = sorted(context.waiting, key=load.started_ms.__getitem__)
+    assert order == context.waiting[::-1], order
+
+
+@when("a request runs and one of priority {priority:d} waits")
+def one_waits(context, priority):
+    assert isinstance(context.load.offer(), Admitted)
+    context.waiting = context.load.offer(priority=priority)
+    assert isinstance(context.waiting, Queued)
+
+
+@then("one of priority {priority:d} takes its place")
+def displaces(context, priority):
+    assert isinstance(context.load.offer(priority=priority), Queued)
+    assert context.waiting.call.request_id in context.load.refused
+
+
+@then("a further one of priority {priority:d} is refused")
+def further_refused(context, priority):
+    assert isinstance(context.load.offer(priority=priority), Dropped)
+
+
+def cold_gate(slots, per_s):
+    own = HostRecord(name="h", address="a", domain="d", region="r", service="s")
+    keeper = Gatekeeper(own, needs_listing=True)
+    bounds = limits(slots, cold_requests_per_s=per_s)
+    team_file = TeamFile(service="s", team="", failure_domains=(), limits=bounds)
+    keeper.configure(Snapshot(Head(version=1, root=""), {"s": team_file}, {}, ()), 0.0)
+    return keeper
+
+
+@given(
+    "a gate with {slots:d} slots in front of a worker that is cold for {cold_ms:d} ms "
+    "and bears {per_s:d} a second"
+)
+def cold_worker(context, slots, cold_ms, per_s):
+    context.keeper = cold_gate(slots, per_s)
+    listing = Listing("i-1", "s", slots, HostState.LIVE, cold_ms)
+    context.keeper.listed(listing, START_MS)
+
+
+@when("{rate:d} requests a second that take {service_ms:d} ms arrive for 3 s")
+def cold_load(context, rate, service_ms):
+    load = Load.__new__(Load)
+    load.gate, load.service_ms, load.now_ms = (
+        context.keeper.admission,
+        service_ms,
+        START_MS,
+    )
+    load.ends, load.arrived_ms, load.started_ms, load.refused = [], {}, {}, {}
+    for _ in range(rate * 3):
+        load.offer()
+        load.advance(load.now_ms + 1_000 / rate)
+    context.load = load
+
+
+@then("in no second are more than {count:d} sent to the worker")
+def cold_bound(context, count):
+    starts = sorted(context.load.started_ms.values())
+    for index, start_ms in enumerate(starts):
+        if start_ms >= START_MS + 2_900:
+            break
+        within = [at for at in starts[index:] if at < start_ms + 1_000]
+        within = [at for at in within if at < START_MS + 3_000]
+        assert len(within) <= count, (start_ms, len(within))
+
+
+@then("after that all are admitted at once")
+def warm_again(context):
+    load = context.load
+    load.advance(load.now_ms + 1_000)
+    slots = load.gate.limits.slots
+    assert all(isinstance(load.offer(), Admitted) for _ in range(slots))
+
+
+@given(
+    "a gate with {slots:d} slots in front of a warm worker that bears {per_s:d} a "
+    "second when cold"
+)
+def warm_worker(context, slots, per_s):
+    context.keeper = cold_gate(slots, per_s)
+    context.keeper.listed(Listing("i-1", "s", slots, HostState.LIVE), START_MS)
+    assert not context.keeper.is_cold(START_MS)
+
+
+@when("the worker accepts connections again after it refused them")
+def came_back(context):
+    context.keeper.went_down(START_MS)
+    verdict = context.keeper.offer(request(START_MS), (), START_MS, 0.0)[-1]
+    assert verdict.refusal.kind is ErrorKind.WORKER_UNREACHABLE
+    context.keeper.came_back(START_MS)
+
+
+@then("it is taken as cold")
+def is_cold(context):
+    assert context.keeper.is_cold(START_MS)
+
+
+@then("once it tells that it is warm, all slots are used")
+def told_warm(context):
+    context.keeper.told_cold(0.0, START_MS + 1)
+    assert context.keeper.load(START_MS + 1).capacity == 9
+
+
+@given("a window of {window_ms:d} ms with a retry in 10 requests and {slack:d} besides")
+def window(context, window_ms, slack):
+    context.budget = WindowBudget(0.1, slack, window_ms)
+    context.budget.advance(0.0)
+
+
+@when("{rate:d} requests a second come for 10 s and each wants a retry")
+def all_want(context, rate):
+    context.granted_ms = []
+    for index in range(rate * 20):
+        now_ms = index * 1_000 / rate
+        context.budget.advance(now_ms)
+        context.budget.request()
+        if context.budget.spend():
+            context.granted_ms.append(now_ms)
+    context.now_ms = now_ms
+
+
+@then("at most {count:d} retries are granted in any window")
+def window_bound(context, count):
+    granted = collections.deque()
+    for at_ms in context.granted_ms:
+        granted.append(at_ms)
+        while granted[0] <= at_ms - 10_000:
+            granted.popleft()
+        assert len(granted) <= count, (at_ms, len(granted))
+
+
+@then("after 30 s without requests at most {count:d} are granted")
+def quiet_bound(context, count):
+    context.budget.advance(context.now_ms + 30_000)
+    assert sum(context.budget.spend() for _ in range(50)) <= count
+
+
+@given("runs that make 1.4 requests each")
+def fanout(context):
+    context.fanout = Fanout()
+    for index in range(100):
+        context.fanout.run()
+        for _ in range(2 if index % 10 < 7 else 0):
+            context.fanout.made("s")
+
+
+@when("{runs:d} runs are repeated and {count:d} requests of their service come")
+def repeated(context, runs, count):
+    for _ in range(count):
+        context.budget.request()
+    for _ in range(runs):
+        context.budget.charge(context.fanout.per_run()["s"])
+
+
+@then("no retry is granted")
+def none_granted(context):
+    assert not context.budget.spend()
+
+
+@given(
+    "a window of 10000 ms with {ratio:d} retries in 100 requests, {failed:d} of them "
+    "after failures"
+)
+def failure_window(context, ratio, failed):
+    context.budget = WindowBudget(ratio / 100, 0.0, 10_000, failed / 100)
+
+
+@when("{count:d} requests come and each is answered with a failure")
+def all_fail(context, count):
+    for _ in range(count):
+        context.budget.request()
+
+
+@then(
+    "{failed:d} retries are granted after failures and {lost:d} more after lost answers"
+)
+def granted_by_kind(context, failed, lost):
+    spend = context.budget.spend
+    assert sum(spend(ErrorKind.WORKER_FAILED) for _ in range(50)) == failed
+    assert sum(spend(ErrorKind.WORKER_LOST) for _ in range(50)) == lost
+
+
+@given("a near worker with all slots and half as many waiting, and an idle far one")
+def near_and_far(context):
+    context.router = Router("near", "r", random.Random(1))
+    context.hosts = [
+        HostRecord(name=name, address="a", domain=name, region="r", service="s")
+        for name in ("near", "far")
+    ]
+    report(context, 4)
+
+
+def report(context, queued):
+    context.router.report("near", GateLoad(10, queued, 10), START_MS)
+    context.router.report("far", GateLoad(0, 0, 10), START_MS)
+
+
+def chosen(context, spill_ratio):
+    choice = context.router.choose(
+        "s", EMPTY_SNAPSHOT, context.hosts, START_MS, (), spill_ratio
+    )
+    return choice.host.name
+
+
+@then("a request with a small answer goes far and one with a large answer stays near")
+def by_answer(context):
+    found = (chosen(context, SPILL_RATIO), chosen(context, BULKY_SPILL_RATIO))
+    assert found == ("far", "near"), found
+
+
+@then("behind a queue as long as its slots it goes far too")
+def long_queue(context):
+    report(context, 10)
+    assert chosen(context, BULKY_SPILL_RATIO) == "far"
+
+
+@given("a route that is split {first:d} to {second:d}")
+def split_route(context, first, second):
+    services = {
+        name: TeamFile(service=name, team="", failure_domains=(), limits=limits(1))
+        for name in ("first", "second")
+    }
+    parts = (
+        SplitPart(service="first", weight=first),
+        SplitPart(service="second", weight=second),
+    )
+    route = Route(path="/a/", route_class=RouteClass.IDEMPOTENT, split=parts)
+    context.bound = bind(route, services, "")
+
+
+@when("{count:d} requests are shared out")
+def shared_out(context, count):
+    splits = Splits(random.Random(3))
+    shared = [splits.service(context.bound) for _ in range(count)]
+    context.shared = collections.Counter(shared)
+
+
+@then("the second service gets {least:d} to {most:d} of them")
+def share_of_second(context, least, most):
+    assert least <= context.shared["second"] <= most, context.shared
+
+
+@given("an entry that may ask {count:d} more gates after refusals that sent nothing on")
+def redirecting(context, count):
+    context.redirects = count
+    context.budget = WindowBudget(0.0, 0.0, 10_000)
+
+
+def ask(context, kind):
+    hosts = [
+        HostRecord(name=f"h{i}", address="a", domain="d", region="r", service="s")
+        for i in range(6)
+    ]
+    view = View(EMPTY_SNAPSHOT, hosts)
+    call = dataclasses.replace(request(0.0), attempts_left=2)
+    router = Router("d", "r", random.Random(1))
+    decisions = Dispatch(call, router, context.budget, context.redirects)
+    step = decisions.first(view, 0.0)
+    context.asked = 0
+    while isinstance(step, SendTo):
+        context.asked += 1
+        step = decisions.failed(Refusal(kind, ""), view, 0.0)
+    assert isinstance(step, Refuse)
+    context.heard = step.refusal.kind
+
+
+@when('the gates refuse as "{kind}"')
+def gates_refuse(context, kind):
+    ask(context, ErrorKind(kind))
+
+
+@then("{count:d} gates are asked and no retry is spent")
+def gates_asked(context, count):
+    assert context.asked == count, context.asked
+
+
+@when("a worker rejects a request and the budget is spent")
+def worker_rejects(context):
+    ask(context, ErrorKind.WORKER_REJECTED)
+
+
+@then('{count:d} gates are asked and the caller hears "{kind}"')
+def asked_and_heard(context, count, kind):
+    assert (context.asked, context.heard.value) == (count, kind)
--- /dev/null
+++ b/features/steps/worker_protocol.py
@@ -0,0 +1,240 @@
+"""Steps on answers that a backend server spoils, seen by the worker client."""
+
+import socket
+import struct
+
+import h11
+import trio
+from behave import given
+from behave import then
+from behave import when
+from cactushook import RequestError
+from cactushook_node.headers import header_names
+from cactushook_node.settings import HeaderSettings
+from cactushook_node.settings import WorkerSettings
+from cactushook_node.streams import WorkerRequest
+from cactushook_node.worker import Worker
+
+from features import edge_lab as lab
+
+NAMES = HeaderSettings(
+    request_id="Request-Id",
+    signature="Signature",
+    not_executed="Not-Executed",
+    target_instance="Target",
+)
+SIGNED = "Signature: s"
+REJECTED = "Not-Executed: 1"
+OK = "200 OK"
+FULL = "503 Full"
+
+
+def answer(request_id, *headers, status=OK, body=b"body"):
+    lines = [f"HTTP/1.1 {status}", f"Request-Id: {request_id}", *headers]
+    head = "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""])
+    return head.encode() + body
+
+
+def unframed(request_id):
+    return (
+        f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{SIGNED}\r\n\r\nbody".encode()
+    )
+
+
+ANSWERS = {
+    "signed and whole": lambda own: answer(own, SIGNED),
+    "whole, but not signed": lambda own: answer(own),
+    "signed, but its body is encoded": lambda own: answer(
+        own, SIGNED, "Content-Encoding: gzip"
+    ),
+    "for another request and then its own": lambda own: (
+        answer("other", SIGNED, body=b"stray") + answer(own, SIGNED)
+    ),
+    "for another request only": lambda own: answer("other", SIGNED),
+    "followed by further bytes": lambda own: answer(own, SIGNED) + b"more",
+    "followed by a second answer": lambda own: 2 * answer(own, SIGNED),
+    "a rejection": lambda own: answer(own, REJECTED, status=FULL),
+    "a rejection of another request": lambda own: answer("o", REJECTED, status=FULL),
+    "from another start": lambda own: answer(own, status="421 Misdirected"),
+    "a failure of its own": lambda own: answer(
+        own, SIGNED, status="500 Failed", body=b"failed"
+    ),
+    "whole, and it says that it closes": lambda own: answer(
+        own, SIGNED, "Connection: close"
+    ),
+    "without a length, ended by a close": unframed,
+    "without a length, ended by a reset": unframed,
+}
+ENDED = ("for another request only", "a rejection of another request")
+
+
+class Backend:
+    """A backend server that reads whole requests and answers from a script."""
+
+    def __init__(self, script, ends="", reads_body=True):
+        self.script = script
+        self.ends = ends
+        self.reads_body = reads_body
+        self.connections = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        http = h11.Connection(h11.SERVER)
+        try:
+            await self._serve(http, stream)
+        except trio.BrokenResourceError:
+            return
+
+    async def _serve(self, http, stream):
+        while (request_id := await self._request(http, stream)) is not None:
+            await stream.send_all(self.script(request_id))
+            if self.ends:
+                if self.ends == "reset":
+                    option = struct.pack("ii", 1, 0)
+                    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+                    await trio.sleep(0.05)
+                return
+            if not self.reads_body:
+                await trio.sleep_forever()
+
+    async def _request(self, http, stream):
+        request_id = None
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = await stream.receive_some(lab.PART_BYTES)
+                if not data:
+                    return None
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request_id = dict(event.headers)[b"request-id"].decode()
+                if not self.reads_body:
+                    return request_id
+            elif isinstance(event, h11.EndOfMessage):
+                http.send(h11.Response(status_code=200, headers=[]))
+                http.send(h11.EndOfMessage())
+                http.start_next_cycle() if http.our_state is h11.DONE else None
+                return request_id
+
+
+def exchange(context, requests, gap_s=0.05):
+    """Sends requests one after the other and notes how each ends."""
+    address = lab.free_addresses(1)[0]
+    context.outcomes = []
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            ip, _, port = address.rpartition(":")
+            serve = context.backend.serve
+            await nursery.start(
+                lambda task_status: trio.serve_tcp(
+                    serve, int(port), host=ip, task_status=task_status
+                )
+            )
+            settings = WorkerSettings(address=address)
+            worker = Worker(settings, header_names(NAMES, "Instance"), 5)
+            for index, request in enumerate(requests):
+                if index:
+                    await trio.sleep(gap_s)
+                context.outcomes.append(await outcome(worker, request))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def outcome(worker, request):
+    try:
+        with trio.fail_after(lab.WAIT_LIMIT_S):
+            async with worker.send(request) as reply:
+                return b"".join([part async for part in reply.body]).decode()
+    except RequestError as error:
+        return error.kind.value
+
+
+def request(request_id="r1", body=b"", method="GET"):
+    headers = ((b"host", b"x"), (b"request-id", request_id.encode()))
+    return WorkerRequest(method, b"/a", headers, body)
+
+
+@given("a backend server whose answer is {text}")
+def scripted(context, text):
+    ends = ""
+    if text in ENDED or text.endswith("a close"):
+        ends = "close"
+    elif text.endswith("a reset"):
+        ends = "reset"
+    context.backend = Backend(ANSWERS[text], ends)
+
+
+@given("a backend server that answers before it has read a body")
+def early(context):
+    script = ANSWERS["signed and whole"]
+    context.backend = Backend(script, reads_body=False)
+
+
+@given("a backend server that keeps idle connections for 1 s")
+def short_idle(context):
+    context.backend = Backend(lambda own: answer(own, SIGNED, "Keep-Alive: timeout=1"))
+
+
+@given("a backend server that answers each request a second time with the next one")
+def repeating(context):
+    before = []
+
+    def script(own):
+        mine = answer(own, SIGNED, body=f"body of {own}".encode())
+        late = before.pop() if before else b""
+        before.append(mine)
+        return late + mine
+
+    context.backend = Backend(script)
+
+
+@when("the gate sends it a request with an id")
+def send_one(context):
+    exchange(context, [request("r1"), request("r2")])
+    context.outcome = context.outcomes[0]
+
+
+@when("the gate sends it a request with a body of {count:d} bytes")
+def send_long(context, count):
+    exchange(context, [request("r1", b"x" * count, "POST"), request("r2")])
+    context.outcome = context.outcomes[0]
+
+
+@when("the gate sends two requests {gap_ms:d} ms apart")
+def send_apart(context, gap_ms):
+    exchange(context, [request("r1"), request("r2")], gap_ms / 1_000)
+
+
+@when("the gate sends {count:d} requests one after the other")
+def send_several(context, count):
+    exchange(context, [request(f"r{index}") for index in range(count)])
+
+
+@then('the request ends as "{text}"')
+def ends_as(context, text):
+    assert context.outcome == text, context.outcomes
+
+
+@then("the connection is used again")
+def used_again(context):
+    assert context.backend.connections == 1, context.backend.connections
+
+
+@then("the connection is closed")
+def closed(context):
+    assert context.backend.connections == 2, context.backend.connections
+
+
+@then("each came on a connection of its own")
+def own_connections(context):
+    assert context.outcomes == ["body", "body"], context.outcomes
+    assert context.backend.connections == 2
+
+
+@then("each request ends with the body of its own answer")
+def own_bodies(context):
+    wanted = [f"body of r{index}" for index in range(5)]
+    assert context.outcomes == wanted, context.outcomes
+    assert context.backend.connections == 1
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -22,6 +22,8 @@
 from cactushook.repeats import Fanout
 from cactushook.retries import Budget
 from cactushook.retries import WindowBudget
+from cactushook.routing import BULKY_SPILL_RATIO
+from cactushook.routing import SPILL_RATIO
 from cactushook.snapshot import BoundRoute
 from cactushook.splits import Splits
 
@@ -30,7 +32,9 @@
 from .gate import Gate
 from .headers import find
 from .link_pool import LinkPool
+from .logs import ANSWERED
 from .logs import EventLog
+from .logs import MAX_ID_CHARACTERS
 from .streams import Emit
 from .streams import end_to_end
 from .streams import Headers
@@ -40,8 +44,6 @@
 from .streams import ReplyStart
 from .streams import WorkerRequest
 
-ANSWERED = "answered"
-MAX_ID_CHARACTERS = 64
 MIN_RETRY_AFTER_MS = 100
 # Callers wait for no more than a third of the time that they have left.
 RETRY_AFTER_SHARE = 0.25
@@ -49,7 +51,12 @@
 # Least number of hosts among which the fleet's retries are shared.
 MIN_FLEET_HOSTS = 4
 # Share of the fleet's bound that is used, since views of its size differ.
-BUDGET_SHARE = 0.55
+BUDGET_SHARE = 0.62
+# Of the fleet's bound, what is used after a worker reported a failure.
+FAILED_SHARE = 0.15
+# Mean length of an answer above which a route's requests stay near.
+BULKY_BYTES = 32_768
+BYTES_SHARE = 0.1
 _SERVER_ERROR = 500
 
 
@@ -108,6 +115,7 @@
         self._splits = Splits(environment.rng)
         self._fleet_hosts = MIN_FLEET_HOSTS
         self._fanout = Fanout()
+        self._answer_bytes: dict[str, float] = {}
         gate.on_run(self._on_run)
         self._serving = 0
 
@@ -221,7 +229,7 @@
         self, call: Call, request: WorkerRequest, emit: Emit, trace: "Trace"
     ) -> None:
         environment = self._environment
-        decisions = self._decisions(call)
+        decisions = self._decisions(call, trace.route)
         step = decisions.first(self._view(call.service), environment.now_ms())
         held: ReplyStart | None = None
         while isinstance(step, SendTo):
@@ -229,6 +237,7 @@
             refusal = await self._attempt(step, request, relay)
             trace.attempt(step.host.name, refusal)
             if refusal is None:
+                self._note_bytes(trace.route, relay.sent_bytes)
                 return
             held = relay.held or held
             view = self._view(call.service)
@@ -248,9 +257,16 @@
         wait_ms = min(wait_ms, RETRY_AFTER_SHARE * left_ms)
         return max(1, round(wait_ms * environment.rng.uniform(0.7, 1.3)))
 
-    def _decisions(self, call: Call) -> Dispatch | KeyedDispatch:
+    def _decisions(self, call: Call, route: str) -> Dispatch | KeyedDispatch:
         redirects = self._environment.settings.retry.redirects
-        return dispatch(call, self.router, self._budget(call.service), redirects)
+        bulky = self._answer_bytes.get(route, 0.0) > BULKY_BYTES
+        spill_ratio = BULKY_SPILL_RATIO if bulky else SPILL_RATIO
+        budget = self._budget(call.service)
+        return dispatch(call, self.router, budget, redirects, spill_ratio)
+
+    def _note_bytes(self, route: str, count: int) -> None:
+        known = self._answer_bytes.get(route, float(count))
+        self._answer_bytes[route] = known + BYTES_SHARE * (count - known)
 
     def _on_run(self, call: Call) -> None:
         """Charges what a repeated run will ask of other services."""
@@ -274,7 +290,10 @@
         if budget is None:
             if settings.ratio:
                 budget = WindowBudget(
-                    settings.ratio * BUDGET_SHARE, 0.0, settings.window_ms
+                    settings.ratio * BUDGET_SHARE,
+                    0.0,
+                    settings.window_ms,
+                    settings.ratio * FAILED_SHARE,
                 )
             else:
                 found = environment.store.snapshot.services[service]
@@ -356,7 +375,7 @@
         self.outcome = ErrorKind.CANCELLED.value
         self._request_id = request_id
         self._started_ms = started_ms
-        self._route = ""
+        self.route = ""
         self._service = ""
         self._version = 0
         self._deadline_ms = 0.0
@@ -364,7 +383,7 @@
 
     def routed(self, bound: BoundRoute, call: Call) -> None:
         """Notes where the request goes and by which version."""
-        self._route = bound.route.path
+        self.route = bound.route.path
         self._service = call.service
         self._version = call.version
         self._deadline_ms = call.deadline_ms
@@ -384,7 +403,7 @@
             "request_ended",
             self.outcome == ANSWERED,
             request_id=self._request_id[:MAX_ID_CHARACTERS],
-            route=self._route,
+            route=self.route,
             service=self._service,
             routed_version=self._version,
             attempts=self._attempts,
@@ -413,6 +432,7 @@
     ) -> None:
         self.refusal: Refusal | None = None
         self.held: ReplyStart | None = None
+        self.sent_bytes = 0
         self.patience: trio.CancelScope | None = None
         self._router = router
         self._host = step.host.name
@@ -441,6 +461,11 @@
             self.refusal = Refusal(ErrorKind.WORKER_FAILED, detail)
             return
         self._started = True
+        match event:
+            case ReplyStart():
+                self.sent_bytes += len(event.body)
+            case ReplyChunk(data):
+                self.sent_bytes += len(data)
         self.patience.deadline = math.inf
         await self._emit(event)
 
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -31,6 +31,8 @@
 from . import wire
 from .environment import Environment
 from .headers import find
+from .logs import ANSWERED
+from .logs import MAX_ID_CHARACTERS
 from .streams import Emit
 from .streams import Headers
 from .streams import ReplyChunk
@@ -121,7 +123,6 @@
         self._worker: Worker | None = None
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
         environment.board.snapshot.watch(self._on_snapshot)
-        environment.board.leaving.watch(self._on_leaving)
         environment.board.listing.watch(self._on_listing)
         environment.board.host_list_read.watch(self._on_host_list)
         environment.timers.every(TICK_MS, self._on_timer)
@@ -141,6 +142,10 @@
         """Calls back when a request may have taken its backend server down."""
         self._crash_listeners.append(listener)
 
+    def drain(self) -> None:
+        """Refuses new work from now on; running and waiting work goes on."""
+        self._keeper.drain()
+
     def on_run(self, listener: t.Callable[[Call], None]) -> None:
         """Calls back when a request is sent to the backend server."""
         self._run_listeners.append(listener)
@@ -170,17 +175,40 @@
     async def serve(self, call: Call, request: WorkerRequest, emit: Emit) -> None:
         """Runs one request, or refuses it, and emits the answer's events."""
         environment = self._environment
+        offered_ms = environment.now_ms()
         *others, verdict = self._keeper.offer(
-            call, environment.membership.hosts, environment.now_ms(), self.epoch_ms()
+            call, environment.membership.hosts, offered_ms, self.epoch_ms()
         )
         self._settle(others)
         if call.route_class is RouteClass.AT_MOST_ONCE:
             await self._serve_keyed(call, verdict, request, emit)
             return
         refusal = await self._run(call, verdict, request, emit)
+        self._log_end(call, refusal, offered_ms)
         if refusal is not None:
             await self._refuse(refusal, emit)
 
+    def _log_end(self, call: Call, refusal: Refusal | None, offered_ms: float) -> None:
+        """Logs what became of a request, and the load that decided it."""
+        load = self.load()
+        now_ms = self._environment.now_ms()
+        self._environment.log.request(
+            "gate_ended",
+            refusal is None,
+            request_id=call.request_id[:MAX_ID_CHARACTERS],
+            service=call.service,
+            routed_version=call.version,
+            instance=self._keeper.instance,
+            outcome=ANSWERED if refusal is None else refusal.kind.value,
+            reason="" if refusal is None else refusal.detail,
+            resent=call.resent,
+            running=load.running,
+            queued=load.queued,
+            capacity=load.capacity,
+            took_ms=round(now_ms - offered_ms, 1),
+            left_ms=round(call.deadline_ms - now_ms),
+        )
+
     async def _refuse(self, refusal: Refusal, emit: Emit) -> None:
         kind, detail = refusal.kind, refusal.detail
         self._environment.metrics.refusals.labels(kind.value, "gate").inc()
@@ -447,10 +475,6 @@
         if read:
             self._keeper.homes.host_list_read()
 
-    def _on_leaving(self, leaving: bool) -> None:
-        if leaving:
-            self._keeper.drain()
-
     def _on_pause(self, pause: Pause) -> None:
         self._environment.metrics.pauses.inc()
         self._keeper.paused(self._environment.now_ms())
--- a/packages/cactushook-node/src/cactushook_node/logs.py
+++ b/packages/cactushook-node/src/cactushook_node/logs.py
@@ -12,6 +12,10 @@
 from pythonjsonlogger.json import JsonFormatter
 
 LOGGER = "cactushook"
+# Outcome of a request that got a backend server's answer.
+ANSWERED = "answered"
+# Callers choose the ids of requests.
+MAX_ID_CHARACTERS = 64
 # Lines that wait while the reader is slow; more are dropped and counted.
 MAX_WAITING_LINES = 5_000
 # A pipe that is writable takes as many bytes without blocking.
--- a/packages/cactushook-node/src/cactushook_node/metrics.py
+++ b/packages/cactushook-node/src/cactushook_node/metrics.py
@@ -15,7 +15,10 @@
             "cactushook_retries", "Requests sent again, by reason.", "kind"
         )
         self.requests = self._counter(
-            "cactushook_requests", "Requests, by class and outcome.", "cls", "outcome"
+            "cactushook_requests",
+            "Requests, by class and outcome.",
+            "route_class",
+            "outcome",
         )
         self.versions_refused = self._counter(
             "cactushook_versions_refused", "Versions not applied, by reason.", "kind"
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -182,11 +182,15 @@
         environment = self.environment
         environment.log.info("draining")
         environment.board.leaving.write(True)
+        if not self._has_adapter:
+            self.gate.drain()
         environment.board.readiness.write(Readiness(False, "draining"))
         environment.membership.change_state(HostState.LEAVING)
         with trio.move_on_after(environment.settings.drain_limit_ms / 1_000):
             await self.distribution.announce_own()
             await trio.sleep(environment.settings.linger_ms / 1_000)
+            # Where the platform tells nobody of the stop, work is taken until now.
+            self.gate.drain()
             self.edge.stop_accepting()
             while not (self.gate.idle and self.entry.idle):
                 await trio.sleep(0.02)
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -32,6 +32,10 @@
 MAX_BACKOFF_MS = 800.0
 # An outage of the store at least this long may have let records lapse.
 OUTAGE_MS = 1_000.0
+LAPSED_PERIOD_MS = 100
+# Kept from the time that a leaving host's work may go on: the record may have
+# vanished a moment before the node saw the store again.
+LINGER_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +82,7 @@
         self._nursery.start_soon(self._follow)
         period_ms = environment.settings.gossip_period_ms
         environment.timers.every(period_ms, self._on_gossip, first_ms=0)
+        environment.timers.every(LAPSED_PERIOD_MS, self._drop_lapsed)
         environment.timers.on_pause(self._on_pause)
 
     def ready(self) -> Ready:
@@ -200,15 +205,14 @@
         since_ms = self._failing_since_ms
         if since_ms is None or now_ms - since_ms < OUTAGE_MS:
             return
-        linger_ms = environment.settings.adapter.drain_ms
+        linger_ms = LINGER_SHARE * environment.settings.adapter.drain_ms
         removed = [item.key for item in news if item.deleted and item.key in before]
         for key in removed:
             self._lingering[key] = _Lingering(before[key], now_ms + linger_ms)
         if removed:
             environment.log.info("records_lapsed", keys=removed, linger_ms=linger_ms)
-            environment.timers.after(linger_ms + 1, self._on_linger_end)
 
-    def _on_linger_end(self, now_ms: float) -> None:
+    def _drop_lapsed(self, now_ms: float) -> None:
         ended = [k for k, kept in self._lingering.items() if kept.until_ms <= now_ms]
         for key in ended:
             del self._lingering[key]
--- a/packages/cactushook-node/src/cactushook_node/worker.py
+++ b/packages/cactushook-node/src/cactushook_node/worker.py
@@ -227,8 +227,12 @@
             if not needs_id:
                 return WorkerReply(response.status_code, headers, self._body())
             if not request_id or find(headers, names.request_id) == request_id:
-                _check_answer(response.status_code, headers, names)
-                return WorkerReply(response.status_code, headers, self._body())
+                refusal = _refusal(response.status_code, headers, names)
+                if refusal is None:
+                    return WorkerReply(response.status_code, headers, self._body())
+                async for _ in self._body():
+                    pass
+                raise refusal
             await self._skip(encoded)
         raise RequestError(
             ErrorKind.ANSWER_INVALID, "the connection carries answers to other requests"
@@ -315,16 +319,17 @@
     return KEEPALIVE_EXPIRY_S
 
 
-def _check_answer(status: int, headers: Headers, names: HeaderNames) -> None:
-    """Raises for answers that are not the backend server's word on the request."""
+def _refusal(status: int, headers: Headers, names: HeaderNames) -> RequestError | None:
+    """Returns why an answer is not the backend server's word on the request."""
     if status == _MISDIRECTED and names.target_instance:
-        raise RequestError(
+        return RequestError(
             ErrorKind.WORKER_REPLACED, "another start of the backend server answered"
         )
     if find(headers, names.not_executed):
-        raise RequestError(
+        return RequestError(
             ErrorKind.WORKER_REJECTED, f"the backend server answered {status} unrun"
         )
     succeeded = 200 <= status < 300
     if succeeded and names.signature and not find(headers, names.signature):
-        raise RequestError(ErrorKind.ANSWER_INVALID, "the answer is not signed")
+        return RequestError(ErrorKind.ANSWER_INVALID, "the answer is not signed")
+    return None
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -175,8 +175,10 @@
     def _enqueue(self, call: Call, now_ms: float) -> list[Verdict]:
         until_ms = min(call.deadline_ms, now_ms + self.limits.queue_timeout_ms)
         wait_ms = self._expected_wait_ms(call, now_ms)
-        until_ms = min(until_ms, self._latest_start_ms(call, now_ms))
-        if now_ms + wait_ms >= until_ms:
+        latest_ms = self._latest_start_ms(call, now_ms)
+        # Who was let in is served also if the estimate was a little short.
+        until_ms = min(until_ms, latest_ms + self._service_ms)
+        if now_ms + wait_ms >= min(until_ms, latest_ms):
             detail = "no slot is expected to become free in time"
             refusal = Refusal(
                 self._full_kind(now_ms), detail, retry_after_ms=round(wait_ms)
@@ -204,7 +206,7 @@
             return 0.0
         urgency = _urgency(call)
         ahead = sum(_urgency(item.call) <= urgency for item in self._queue)
-        return self.ramp.wait_ms(ahead, self._service_ms, now_ms)
+        return self.ramp.wait_ms(ahead + 1, self._service_ms, now_ms)
 
     def _latest_start_ms(self, call: Call, now_ms: float) -> float:
         """Returns when a request must start so that its answer is of full use.
--- a/packages/cactushook/src/cactushook/dispatch.py
+++ b/packages/cactushook/src/cactushook/dispatch.py
@@ -14,6 +14,7 @@
 from .nodes import HostState
 from .retries import Budget
 from .routing import Router
+from .routing import SPILL_RATIO
 from .snapshot import Snapshot
 
 MAX_HOME_STEPS = 12
@@ -81,15 +82,22 @@
         budget: the service's retry budget.
         redirects: gates that may be asked, without cost, after one refused and
             sent nothing to its worker.
+        spill_ratio: load of the near workers above which others are taken.
     """
 
     def __init__(
-        self, call: Call, router: Router, budget: Budget, redirects: int = 0
+        self,
+        call: Call,
+        router: Router,
+        budget: Budget,
+        redirects: int = 0,
+        spill_ratio: float = SPILL_RATIO,
     ) -> None:
         self._call = call
         self._router = router
         self._budget = budget
         self._redirects_left = redirects
+        self._spill_ratio = spill_ratio
         self._sent = 0
         self._tried: list[str] = []
         self._asked: HostRecord | None = None
@@ -126,7 +134,12 @@
     def _next(self, view: View, now_ms: float, last: Refusal | None) -> Step:
         call = self._call
         choice = self._router.choose(
-            call.service, view.snapshot, view.hosts, now_ms, self._tried
+            call.service,
+            view.snapshot,
+            view.hosts,
+            now_ms,
+            self._tried,
+            self._spill_ratio,
         )
         if choice.host is None:
             detail = f"no worker of {call.service!r} takes work"
@@ -239,12 +252,16 @@
 
 
 def dispatch(
-    call: Call, router: Router, budget: Budget, redirects: int = 0
+    call: Call,
+    router: Router,
+    budget: Budget,
+    redirects: int = 0,
+    spill_ratio: float = SPILL_RATIO,
 ) -> Dispatch | KeyedDispatch:
     """Returns the decisions for one request."""
     if call.key:
         return KeyedDispatch(call, budget)
-    return Dispatch(call, router, budget, redirects)
+    return Dispatch(call, router, budget, redirects, spill_ratio)
 
 
 __all__ = ["Dispatch", "KeyedDispatch", "Refuse", "SendTo", "Step", "View", "dispatch"]
--- a/packages/cactushook/src/cactushook/retries.py
+++ b/packages/cactushook/src/cactushook/retries.py
@@ -62,8 +62,8 @@
     def request(self) -> None:
         """Counts a first attempt."""
 
-    def spend(self) -> bool:
-        """Takes one retry if the budget allows it."""
+    def spend(self, kind: ErrorKind | None = None) -> bool:
+        """Takes one retry after a failure of a kind if the budget allows it."""
 
 
 class WindowBudget:
@@ -73,10 +73,21 @@
         ratio: retries allowed per request of the window.
         slack: retries allowed besides.
         window_ms: length of the window.
+        failed_ratio: of these, retries after a worker reported a failure. It says
+            little of the worker: a call that its run made may have failed, and a
+            repeat makes that call again.
     """
 
-    def __init__(self, ratio: float, slack: float, window_ms: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_ms: float,
+        failed_ratio: float | None = None,
+    ) -> None:
         self.slack = slack
+        self._failed_ratio = ratio if failed_ratio is None else failed_ratio
+        self._failed: collections.deque[float] = collections.deque()
         self._ratio = ratio
         self._window_ms = window_ms
         self._now_ms = 0.0
@@ -88,7 +99,7 @@
         """Sets the time and forgets what lies before the window."""
         self._now_ms = now_ms
         since_ms = now_ms - self._window_ms
-        for times in (self._requests, self._retries):
+        for times in (self._requests, self._retries, self._failed):
             while times and times[0] <= since_ms:
                 times.popleft()
 
@@ -96,11 +107,15 @@
         """Counts a first attempt."""
         self._requests.append(self._now_ms)
 
-    def spend(self) -> bool:
-        """Takes one retry if the budget allows it."""
-        allowed = self._ratio * len(self._requests) + self.slack
-        if len(self._retries) + 1 > allowed:
+    def spend(self, kind: ErrorKind | None = None) -> bool:
+        """Takes one retry after a failure of a kind if the budget allows it."""
+        requests = len(self._requests)
+        if len(self._retries) + 1 > self._ratio * requests + self.slack:
             return False
+        if kind is ErrorKind.WORKER_FAILED:
+            if len(self._failed) + 1 > self._failed_ratio * requests + self.slack:
+                return False
+            self._failed.append(self._now_ms)
         self._retries.append(self._now_ms)
         return True
 
@@ -127,8 +142,8 @@
         """Counts a first attempt."""
         self._balance = min(MAX_BUDGET, self._balance + self._gain)
 
-    def spend(self) -> bool:
-        """Takes one retry if the budget allows it."""
+    def spend(self, kind: ErrorKind | None = None) -> bool:
+        """Takes one retry, whatever failed, if the budget allows it."""
         if self._balance < 1:
             return False
         self._balance -= 1
@@ -159,7 +174,7 @@
         return GiveUp(kind)
     if answer.ran is Ran.MAYBE and route_class is not RouteClass.IDEMPOTENT:
         return GiveUp(_unknown(route_class, kind))
-    if not budget.spend():
+    if not budget.spend(kind):
         return GiveUp(ErrorKind.RETRY_BUDGET_SPENT if answer.ran is Ran.NO else kind)
     return Resend()
 
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -12,6 +12,8 @@
 
 LOAD_TTL_MS = 2_000
 SPILL_RATIO = 0.8
+# Large answers stay near also if they wait a little: they are dear between domains.
+BULKY_SPILL_RATIO = 1.6
 UNKNOWN_CAPACITY = 10
 
 # How long a worker is passed over after a refusal or failure. An overload says
@@ -120,6 +122,7 @@
         hosts: t.Iterable[HostRecord],
         now_ms: float,
         tried: t.Collection[str] = (),
+        spill_ratio: float = SPILL_RATIO,
     ) -> Choice:
         """Chooses a worker: near first, by load, widening when full.
 
@@ -133,6 +136,7 @@
             hosts: the host list.
             now_ms: the time.
             tried: hosts already tried for this request.
+            spill_ratio: load of the near workers above which others are taken.
         """
         passed: list[Passed] = []
         usable: list[HostRecord] = []
@@ -152,7 +156,7 @@
             least = min(usable, key=lambda h: (self._ratio(h, now_ms), h.name))
             return Choice(least, tuple(passed))
         if usable:
-            return Choice(self._pick(usable, now_ms), tuple(passed))
+            return Choice(self._pick(usable, now_ms, spill_ratio), tuple(passed))
         return Choice(self._least_bad(doubtful), tuple(passed))
 
     def _doubt(self, host: HostRecord, now_ms: float) -> str:
@@ -179,11 +183,13 @@
             default=None,
         )
 
-    def _pick(self, usable: list[HostRecord], now_ms: float) -> HostRecord:
+    def _pick(
+        self, usable: list[HostRecord], now_ms: float, spill_ratio: float
+    ) -> HostRecord:
         near = [host for host in usable if host.domain == self._domain]
         region = [host for host in usable if host.region == self._region]
         for candidates in (near, region, usable):
-            roomy = [h for h in candidates if self._ratio(h, now_ms) <= SPILL_RATIO]
+            roomy = [h for h in candidates if self._ratio(h, now_ms) <= spill_ratio]
             if roomy:
                 return self._better_of_two(roomy, now_ms)
         return self._better_of_two(usable, now_ms)
