Refuse what waits for a service that has left; stops, reloads and routes tested

Change: a listing of another service refuses what waits, and a send checks the service once more. The scenario of overload_patterns fails without the change: the waiting request is admitted.

--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -42,6 +42,11 @@
     Then it is taken as cold
     And once it tells that it is warm, all slots are used
 
+  Scenario: an address that goes to another service takes no waiting request with it
+    Given a gate with 1 slots in front of a warm worker that bears 16 a second when cold
+    When a request runs, another waits and the address goes to another service
+    Then the waiting request is refused as "not_ready" and was not sent
+
   Scenario: retries keep to the bound of any window, however the load changes
     Given a window of 10000 ms with a retry in 10 requests and 3 besides
     When 100 requests a second come for 10 s and each wants a retry
--- a/features/steps/overload_patterns.py
+++ b/features/steps/overload_patterns.py
@@ -30,6 +30,7 @@
 from cactushook.dispatch import Refuse
 from cactushook.dispatch import SendTo
 from cactushook.dispatch import View
+from cactushook.gatekeeping import Answered
 from cactushook.gatekeeping import Gatekeeper
 from cactushook.nodes import SplitPart
 from cactushook.publication import Head
@@ -323,6 +324,26 @@
     assert context.keeper.load(START_MS + 1).capacity == 9
 
 
+@when("a request runs, another waits and the address goes to another service")
+def address_reused(context):
+    keeper = context.keeper
+    kinds = [keeper.offer(request(START_MS), (), START_MS, 0.0)[-1] for _ in range(2)]
+    assert [type(kind) for kind in kinds] == [Admitted, Queued], kinds
+    context.waiting = kinds[1].call
+    other = Listing("i-2", "other", 1, HostState.LIVE)
+    context.verdicts = keeper.listed(other, START_MS + 1)
+    context.verdicts += keeper.ended(
+        kinds[0].call, Answered(1.0), START_MS + 2
+    ).verdicts
+
+
+@then('the waiting request is refused as "{kind}" and was not sent')
+def waiting_refused(context, kind):
+    (verdict,) = context.verdicts
+    assert verdict.call == context.waiting
+    assert verdict.refusal.kind.value == kind, verdict
+
+
 @given("a window of {window_ms:d} ms with a retry in 10 requests and {slack:d} besides")
 def window(context, window_ms, slack):
     context.budget = WindowBudget(0.1, slack, window_ms)
--- /dev/null
+++ b/features/steps/route_fields.py
@@ -0,0 +1,82 @@
+"""Steps on the fields of routes that go beyond path and service."""
+
+from behave import given
+from behave import then
+from cactushook import Head
+from cactushook import Limits
+from cactushook import OperatorsFile
+from cactushook import Route
+from cactushook import RouteClass
+from cactushook import Snapshot
+from cactushook import TeamFile
+from cactushook.nodes import Domain
+from cactushook.nodes import SplitPart
+from cactushook.snapshot import bind
+from cactushook.validation import check_fleet
+from cactushook.validation import Source
+
+OPERATORS = OperatorsFile(failure_domains=(Domain(name="cesis", region="vidzeme"),))
+READ = RouteClass.IDEMPOTENT
+
+
+def team_file(*routes):
+    return TeamFile(
+        service="reports",
+        team="inspections",
+        failure_domains=("cesis",),
+        limits=Limits(slots=1, connections=1),
+        routes=routes,
+    )
+
+
+@given('routes "/a" of any host, "/a" of "one.example" and "/a/b/" of "two.example"')
+def three_routes(context):
+    context.team_file = team_file(
+        Route(path="/a", route_class=READ),
+        Route(path="/a", route_class=READ, host="one.example"),
+        Route(path="/a/b/", route_class=READ, host="two.example"),
+    )
+    services = {"reports": context.team_file}
+    bound = tuple(bind(r, services, "reports") for r in context.team_file.routes)
+    context.snapshot = Snapshot(Head(version=1, root=""), services, {}, bound)
+
+
+def found(context, path, host):
+    bound = context.snapshot.match("GET", path, host)
+    return bound and (bound.route.path, bound.route.host)
+
+
+@then('"{path}" at "{host}" goes to "{wanted}" of "{wanted_host}"')
+def goes_to(context, path, host, wanted, wanted_host):
+    assert found(context, path, host) == (wanted, wanted_host)
+
+
+@then('"{path}" at "{host}" goes to "{wanted}" of any host')
+def goes_to_any(context, path, host, wanted):
+    assert found(context, path, host) == (wanted, "")
+
+
+@then('"{path}" at "{host}" goes nowhere')
+def goes_nowhere(context, path, host):
+    assert found(context, path, host) is None
+
+
+@given("a team file whose route has {fault}")
+def faulty_split(context, fault):
+    weight, other = (0, "reports") if fault == "no weight" else (1, "nobody")
+    split = (
+        SplitPart(service="reports", weight=weight),
+        SplitPart(service=other, weight=weight),
+    )
+    context.team_file = team_file(Route(path="/a", route_class=READ, split=split))
+
+
+@then('the fleet is refused as "{kind}" at "{field}"')
+def refused_at(context, kind, field):
+    (fault,) = check_fleet(OPERATORS, [Source("f", context.team_file)])
+    assert (fault.kind.value, fault.field) == (kind, field), fault
+
+
+@then("the fleet is accepted")
+def accepted(context):
+    assert check_fleet(OPERATORS, [Source("f", context.team_file)]) == []
--- /dev/null
+++ b/features/steps/stop_and_reload.py
@@ -0,0 +1,269 @@
+"""Steps on planned stops, settings that are read again, and a log nobody reads."""
+
+import json
+import os
+import pathlib
+import tempfile
+
+import msgspec
+import trio
+from behave import given
+from behave import then
+from behave import when
+from cactushook import ErrorKind
+from cactushook.fleet import CallerLimits
+from cactushook_node.edge import Edge
+from cactushook_node.environment import Environment
+from cactushook_node.http_server import HttpConnection
+from cactushook_node.logs import LineWriter
+from cactushook_node.settings import EdgeLimits
+from cactushook_node.settings import read_settings
+from cactushook_node.streams import ReplyRefused
+
+from features import daemon
+from features import edge_lab as lab
+
+REQUEST = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+class SlowEntry(lab.ScriptedEntry):
+    """Answers once it is let."""
+
+    async def serve(self, request, emit):
+        self.requests.append(request)
+        if request.target == b"/slow":
+            await self.let.wait()
+        await emit(lab.whole(b"body"))
+
+
+@given("an edge that serves while its node stops")
+def stopping_edge(context):
+    env = lab.environment()
+    limits = msgspec.structs.replace(env.settings.limits, connections=10)
+    env.settings = msgspec.structs.replace(env.settings, limits=limits)
+    context.environment = env
+    context.entry = SlowEntry()
+
+
+def run(context, body):
+    env = context.environment
+
+    async def main():
+        context.entry.let = trio.Event()
+        async with trio.open_nursery() as nursery:
+            edge = Edge(env, context.entry)
+            await nursery.start(edge.serve)
+            await body(edge, env.settings.public_listen)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@when("one connection is idle, one has sent half a request and one request runs")
+def three_connections(context):
+    context.stopped = None
+
+
+@when("the edge stops accepting")
+def stops(context):
+    async def body(edge, address):
+        idle, half, busy = [await lab.connect(address) for _ in range(3)]
+        await idle.send_all(REQUEST)
+        assert b"200" in await idle.receive_some(lab.PART_BYTES)
+        await half.send_all(REQUEST[:10])
+        await busy.send_all(REQUEST.replace(b"/a", b"/slow"))
+        await lab.wait_until(lambda: len(context.entry.requests) == 2)
+        await trio.sleep(0.05)
+        context.environment.board.leaving.write(True)
+        edge.stop_accepting()
+        context.idle = await lab.read_to_end(idle)
+        await half.send_all(REQUEST[10:])
+        context.half = await lab.read_to_end(half)
+        context.entry.let.set()
+        context.busy = await lab.read_to_end(busy)
+        try:
+            await lab.connect(address)
+            context.refused = False
+        except OSError:
+            context.refused = True
+
+    run(context, body)
+
+
+@then("the idle connection is closed without an answer")
+def idle_closed(context):
+    assert context.idle == (b"", False), context.idle
+
+
+def whole_and_closing(outcome, header):
+    data, reset = outcome
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200") and not reset, outcome
+    assert header.encode() in head.lower() and body == b"body", outcome
+
+
+@then('the running request is answered whole with "{header}"')
+def busy_answered(context, header):
+    whole_and_closing(context.busy, header)
+
+
+@then("the half request is answered once it is whole")
+def half_answered(context):
+    whole_and_closing(context.half, "connection: close")
+
+
+@then("a new connection is refused")
+def new_refused(context):
+    assert context.refused
+
+
+@when("a request is sent on a kept connection")
+def kept_connection(context):
+    async def body(edge, address):
+        stream = await lab.connect(address)
+        await stream.send_all(REQUEST)
+        assert b"200" in await stream.receive_some(lab.PART_BYTES)
+        context.environment.board.leaving.write(True)
+        await stream.send_all(REQUEST)
+        context.outcome = await lab.read_to_end(stream)
+
+    run(context, body)
+
+
+@then('it is answered whole with "{header}"')
+def answered_closing(context, header):
+    whole_and_closing(context.outcome, header)
+
+
+@when("the configuration allows {count:d} bytes of headers")
+def header_limit(context, count):
+    limits = CallerLimits(count, 1_000, 1_000, 1_000)
+    context.environment.board.caller_limits.write(limits)
+
+
+@then("a request with {count:d} bytes of headers is refused with {status:d}")
+def header_refused(context, count, status):
+    async def body(edge, address):
+        raw = REQUEST.replace(b"\r\n\r\n", b"\r\na: " + b"x" * count + b"\r\n\r\n")
+        context.outcome = await lab.call(address, raw)
+
+    run(context, body)
+    assert context.outcome[0].startswith(f"HTTP/1.1 {status}".encode()), context.outcome
+
+
+def refusal_head(kind, after_ms):
+    class Stream:
+        sent = b""
+
+        async def send_all(self, data):
+            self.sent += data
+
+    async def main():
+        stream = Stream()
+        http = HttpConnection(stream, EdgeLimits())
+        http._http.receive_data(REQUEST)
+        http._http.next_event()
+        http._http.next_event()
+        await http.emit(ReplyRefused(ErrorKind(kind), "", retry_after_ms=after_ms))
+        return stream.sent.lower()
+
+    return trio.run(main)
+
+
+@then('a refusal as "{kind}" after {after_ms:d} ms bears "{header}"')
+def bears(context, kind, after_ms, header):
+    assert header.encode() in refusal_head(kind, after_ms)
+
+
+@then('a refusal as "{kind}" after {after_ms:d} ms bears none')
+def bears_none(context, kind, after_ms):
+    assert b"retry-after" not in refusal_head(kind, after_ms)
+
+
+@given("a node's settings in a file")
+def settings_file(context):
+    directory = tempfile.TemporaryDirectory(prefix="cactushook-test-")
+    context.file = pathlib.Path(context.resources.enter_context(directory)) / "s.jsonc"
+    context.file.write_text(json.dumps(daemon.GOOD_SETTINGS))
+    context.environment = Environment(read_settings(context.file), context.file)
+    context.logged = []
+    log = context.environment.log
+    log.info = lambda event, **fields: context.logged.append((event, fields))
+    log.warning = log.info
+
+
+@when('the file gets other peers and the log level "{level}"')
+def other_settings(context, level):
+    changed = {
+        **daemon.GOOD_SETTINGS,
+        "peers": ["127.0.0.1:9"],
+        "log": {"level": level},
+    }
+    context.file.write_text(json.dumps(changed))
+
+
+@then('reading it again changes "{names}"')
+def read_again(context, names):
+    context.environment.reload("signal")
+    event, fields = context.logged[-1]
+    assert event == "settings_read", context.logged
+    assert ", ".join(sorted(fields["changed"])) == names, fields
+    assert context.environment.settings.peers == ("127.0.0.1:9",)
+
+
+@when("the file is cut in half")
+def cut_in_half(context):
+    text = context.file.read_text()
+    context.file.write_text(text[: len(text) // 2])
+
+
+@then("reading it again changes nothing and says why")
+def read_refused(context):
+    context.environment.reload("file")
+    event, fields = context.logged[-1]
+    assert event == "settings_refused" and "s.jsonc" in fields["reason"], fields
+    assert context.environment.settings.peers == ("127.0.0.1:9",)
+
+
+@given("a log whose reader takes nothing")
+def unread_log(context):
+    context.read_fd, context.write_fd = os.pipe()
+    context.resources.callback(os.close, context.read_fd)
+    context.resources.callback(os.close, context.write_fd)
+    context.writer = LineWriter(context.write_fd)
+
+
+@when("{count:d} lines are written")
+def lines_written(context, count):
+    context.count = count
+    for number in range(count):
+        context.writer.write(f"{number} {'x' * 100}\n")
+        if number % 1_000 == 0:
+            context.writer.pump()
+
+
+@then("writing returned and lines were dropped and counted")
+def lines_dropped(context):
+    assert not context.writer.pump()
+    assert 0 < context.writer.dropped < context.count
+
+
+@when("the reader takes what comes")
+def reader_takes(context):
+    received = bytearray()
+    while not context.writer.pump():
+        received += os.read(context.read_fd, 65_536)
+    os.set_blocking(context.read_fd, False)
+    try:
+        while part := os.read(context.read_fd, 65_536):
+            received += part
+    except BlockingIOError:
+        pass
+    context.received = bytes(received)
+
+
+@then("all lines that were kept arrive whole")
+def lines_whole(context):
+    lines = context.received.decode().splitlines()
+    assert len(lines) == context.count - context.writer.dropped
+    assert all(line.split()[1] == "x" * 100 for line in lines)
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -314,6 +314,10 @@
     ) -> Answered:
         left_ms = call.deadline_ms - self._environment.now_ms()
         remaining_s = left_ms / 1_000
+        if call.service != self._keeper.service:
+            raise RequestError(
+                ErrorKind.NOT_READY, f"service {call.service!r} left this host"
+            )
         if left_ms <= ANSWER_MARGIN_MS:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
         with trio.move_on_after(remaining_s) as scope:
@@ -446,7 +450,7 @@
 
     def _on_listing(self, listing: Listing | None) -> None:
         before = self._keeper.instance
-        self._keeper.listed(listing, self._environment.now_ms())
+        self._settle(self._keeper.listed(listing, self._environment.now_ms()))
         if listing is not None and listing.instance != before:
             if self._worker is not None:
                 self._worker.drop_idle()
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -160,15 +160,30 @@
         self._domain_out = snapshot.is_out(self._own.domain)
         self.admission.configure(limits, self._domain_out, now_ms)
 
-    def listed(self, listing: Listing | None, now_ms: float) -> None:
-        """Follows the platform's listing of the backend server."""
+    def listed(self, listing: Listing | None, now_ms: float) -> list[Verdict]:
+        """Follows the platform's listing of the backend server.
+
+        Returns:
+            Refusals of requests that wait for a service which no longer runs here.
+        """
         before = self._listing
         if listing == before:
-            return
+            return []
         self._listing = listing
         if listing is None or self._snapshot is None:
-            return
+            return []
         self.configure(self._snapshot, now_ms)
+        self._follow_start(before, listing, now_ms)
+        if self.admission is None:
+            return []
+        others = [c for c in self.admission.waiting if c.service != listing.service]
+        for call in others:
+            self.admission.cancel(call.request_id)
+        return [Dropped(call, self._not_served(call)) for call in others]
+
+    def _follow_start(
+        self, before: Listing | None, listing: Listing, now_ms: float
+    ) -> None:
         if _start(before) != _start(listing):
             self._replaced = ""
             self.told_cold(listing.cold_left_ms, now_ms)
