Name the rest of a cold start in the product's own words outside platform/

Cause: cold_left_ms is the platform's name on the wire; it stood in five modules of the product. Behaviour is unchanged.

--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -427,7 +427,7 @@
         environment = self._environment
         names = environment.headers
         service = environment.store.snapshot.services.get(self._keeper.service)
-        if service is None or not names.cold_left_ms:
+        if service is None or not names.cold_remaining_ms:
             return
         request_id = uuid.uuid4().hex.encode()
         headers = ((b"host", environment.settings.worker.address.encode()),)
@@ -438,13 +438,13 @@
                 async with worker.send(request, needs_id=False) as reply:
                     async for _ in reply.body:
                         pass
-                    told = find(reply.headers, names.cold_left_ms)
+                    told = find(reply.headers, names.cold_remaining_ms)
             except RequestError as error:
                 environment.log.info("health_failed", reason=str(error))
                 return
             left_ms = int(told) if told.isdigit() else 0
             environment.log.info(
-                "health_read", status=reply.status, cold_left_ms=left_ms
+                "health_read", status=reply.status, cold_remaining_ms=left_ms
             )
             self._keeper.told_cold(left_ms, environment.now_ms())
 
--- a/packages/cactushook-node/src/cactushook_node/headers.py
+++ b/packages/cactushook-node/src/cactushook_node/headers.py
@@ -18,7 +18,7 @@
         target_instance: the backend server's start that may run the request.
         signature: proof that an answer is the backend server's.
         not_executed: states that the backend server did not run the request.
-        cold_left_ms: how much longer the backend server stays cold.
+        cold_remaining_ms: how much longer the backend server stays cold.
         instance: identity of the backend server's present start.
     """
 
@@ -30,7 +30,7 @@
     target_instance: bytes
     signature: bytes
     not_executed: bytes
-    cold_left_ms: bytes
+    cold_remaining_ms: bytes
     instance: bytes
 
     @property
--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -50,7 +50,7 @@
         target_instance: the start of the backend server that may run the request.
         signature: an answer that succeeds without it is not accepted.
         not_executed: states that the backend server did not run the request.
-        cold_left_ms: how much longer the backend server stays cold.
+        cold_remaining_ms: how much longer the backend server stays cold.
     """
 
     request_id: str = ""
@@ -61,7 +61,7 @@
     target_instance: str = ""
     signature: str = ""
     not_executed: str = ""
-    cold_left_ms: str = ""
+    cold_remaining_ms: str = ""
 
 
 class RetrySettings(Config, kw_only=True):
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -60,7 +60,7 @@
         service: the service that it runs.
         slots: requests that it runs at once.
         state: live or leaving.
-        cold_left_ms: how much longer it stays cold, when the listing was written.
+        cold_remaining_ms: how much longer it stays cold, when the listing was written.
         started_ms: time of day of its present start; 0 if it does not tell.
     """
 
@@ -68,7 +68,7 @@
     service: str
     slots: int
     state: HostState
-    cold_left_ms: float = 0.0
+    cold_remaining_ms: float = 0.0
     started_ms: int = 0
 
 
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -186,9 +186,9 @@
     ) -> None:
         if _start(before) != _start(listing):
             self._replaced = ""
-            self.told_cold(listing.cold_left_ms, now_ms)
-        elif listing.cold_left_ms != before.cold_left_ms:
-            self.told_cold(listing.cold_left_ms, now_ms)
+            self.told_cold(listing.cold_remaining_ms, now_ms)
+        elif listing.cold_remaining_ms != before.cold_remaining_ms:
+            self.told_cold(listing.cold_remaining_ms, now_ms)
 
     def told_cold(self, left_ms: float, now_ms: float) -> None:
         """Takes in how much longer the backend server says it stays cold."""
