Watch the store with a few readers, which the other nodes follow

Cause: every node kept a watch of its own. Change: one host in 16 of a failure domain reads (cactushook.upstreams); each other node follows two of them, the first sends changes, the second tells of them. A watch that waits is probed at a tenth of a call's price, so that a path that went silent is found within about a second. Without a reader that is up to date a node reads by itself, spread over half a second. Values travel deflated between nodes.

--- /dev/null
+++ b/features/steps/upstreams.py
@@ -0,0 +1,192 @@
+"""Steps on the choice of where a node's copy of the store comes from."""
+
+import collections
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from cactushook import HostRecord
+from cactushook.upstreams import Upstreams
+
+STEP_MS = 50.0
+SETTLED_MS = 3_000.0
+
+
+def host(domain, number):
+    name = f"{domain}-{number}"
+    return HostRecord(
+        name=name,
+        address=f"address-{name}",
+        domain=domain,
+        region="r",
+        service="s",
+        incarnation=1,
+    )
+
+
+class Node:
+    """A node's choice, driven step by step."""
+
+    def __init__(self, own, hosts=(), seeds=(), seed=1):
+        self.now_ms = 0.0
+        self.own = own
+        self.upstreams = Upstreams(own, seeds, random.Random(seed), 0.0)
+        self.upstreams.see_hosts(hosts)
+        self.plan = self.upstreams.plan(0.0)
+
+    def run(self, length_ms, fresh=lambda address: True, until=None):
+        """Lets the nodes that it follows answer as told; returns the time taken."""
+        started_ms = self.now_ms
+        while self.now_ms < started_ms + length_ms:
+            for address in self.plan.follows:
+                told = fresh(address)
+                if told is not None:
+                    self.upstreams.heard(address, told, self.now_ms)
+            self.now_ms += STEP_MS
+            self.plan = self.upstreams.plan(self.now_ms)
+            if until is not None and until(self.plan):
+                break
+        return self.now_ms - started_ms
+
+
+@given("failure domains of {first:d}, {second:d} and {third:d} hosts")
+def domains(context, first, second, third):
+    sizes = {"a": first, "b": second, "c": third}
+    context.hosts = [
+        host(domain, number) for domain, size in sizes.items() for number in range(size)
+    ]
+    context.nodes = [Node(own, context.hosts, seed=own.name) for own in context.hosts]
+
+
+def readers(context):
+    return [node.own for node in context.nodes if node.upstreams.is_reader]
+
+
+@then("{first:d}, {second:d} and {third:d} of their hosts read the store")
+def few_read(context, first, second, third):
+    found = collections.Counter(reader.domain for reader in readers(context))
+    assert found == {"a": first, "b": second, "c": third}, found
+
+
+@then("every other node follows two readers, the first one in its own domain")
+def follow_two(context):
+    domain_of = {reader.address: reader.domain for reader in readers(context)}
+    for node in context.nodes:
+        if node.upstreams.is_reader:
+            continue
+        first, second = node.plan.follows
+        assert domain_of[first] == node.own.domain
+        assert domain_of[second] != node.own.domain
+
+
+@then("no node follows itself")
+def not_itself(context):
+    assert all(node.own.address not in node.plan.follows for node in context.nodes)
+
+
+@then("no reader has more than {most:d} followers that it sends changes to")
+def share_followers(context, most):
+    firsts = collections.Counter(
+        node.plan.follows[0] for node in context.nodes if not node.upstreams.is_reader
+    )
+    assert max(firsts.values()) <= most, firsts
+
+
+@given("a node that follows two readers")
+def follower(context):
+    hosts = [host(domain, number) for domain in "abc" for number in range(20)]
+    nodes = (Node(own, hosts) for own in hosts)
+    context.node = next(node for node in nodes if not node.upstreams.is_reader)
+    context.node.run(SETTLED_MS)
+    assert not context.node.plan.reads
+    context.first = context.node.plan.follows[0]
+
+
+@when("its first reader falls silent")
+def first_silent(context):
+    context.answers = lambda address: None if address == context.first else True
+
+
+@when("its first reader tells that it is not up to date")
+def first_behind(context):
+    context.answers = lambda address: address != context.first
+
+
+@then("it follows another one within {limit_ms:d} ms")
+def follows_another(context, limit_ms):
+    def left(plan):
+        return context.first not in plan.follows
+
+    took_ms = context.node.run(10_000, context.answers, left)
+    assert took_ms <= limit_ms, took_ms
+    assert len(context.node.plan.follows) == 2
+
+
+@then("it does not read the store")
+def does_not_read(context):
+    context.node.run(500, context.answers)
+    assert not context.node.plan.reads
+
+
+@when("all readers fall silent")
+def all_silent(context):
+    context.answers = lambda address: None
+
+
+@then("it reads the store within {limit_ms:d} ms")
+def reads_within(context, limit_ms):
+    took_ms = context.node.run(10_000, context.answers, lambda plan: plan.reads)
+    assert took_ms <= limit_ms, took_ms
+
+
+@when("a reader is up to date again")
+def fresh_again(context):
+    context.node.run(SETTLED_MS)
+
+
+@then("it stops to read the store")
+def stops(context):
+    assert not context.node.plan.reads
+
+
+@when("no reader is up to date")
+def none_fresh(context):
+    context.began_ms = [
+        node.run(10_000, lambda address: None, lambda plan: plan.reads)
+        for node in context.nodes
+        if not node.upstreams.is_reader
+    ]
+
+
+@then("its nodes begin to read over more than {least_ms:d} ms")
+def spread(context, least_ms):
+    assert max(context.began_ms) - min(context.began_ms) > least_ms
+
+
+@given("a node that knows two seeds and no hosts")
+def starting(context):
+    context.node = Node(host("a", 1), seeds=("seed-1", "seed-2"))
+
+
+@then("it follows both seeds and does not read")
+def follows_seeds(context):
+    assert set(context.node.plan.follows) == {"seed-1", "seed-2"}
+    assert not context.node.plan.reads
+
+
+@when("{length_ms:d} ms pass without an answer")
+def no_answer(context, length_ms):
+    context.node.run(length_ms, lambda address: None)
+
+
+@given("a node that is a seed and knows no hosts")
+def seed_starting(context):
+    own = host("a", 1)
+    context.node = Node(own, seeds=(own.address, "seed-2"))
+
+
+@then("it reads the store")
+@then("it reads the store at once")
+def reads(context):
+    assert context.node.plan.reads
--- a/packages/cactushook-node/src/cactushook_node/adapters.py
+++ b/packages/cactushook-node/src/cactushook_node/adapters.py
@@ -31,6 +31,13 @@
                 ``SOURCE_HISTORY_LOST`` all values must be read again.
         """
 
+    async def probe(self) -> None:
+        """Finds out at little cost whether the store answers.
+
+        Raises:
+            SourceError: it does not.
+        """
+
     async def close(self) -> None:
         """Drops the connections, which may have gone silent."""
 
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/following.py
@@ -0,0 +1,195 @@
+"""Follows other nodes' copies of the store, and lets others follow this one."""
+
+import dataclasses
+import functools
+import typing as t
+import zlib
+
+import trio
+from cactushook import ErrorKind
+from cactushook import RequestError
+from cactushook import WireError
+from cactushook.replica import Item
+from cactushook.replica import Reading
+from cactushook.replica import Replica
+from cactushook.upstreams import Upstreams
+
+from . import wire
+from .environment import Environment
+from .link_pool import LinkPool
+from .links import Link
+
+FOLLOW_PERIOD_MS = 500.0
+# A follower that has not asked again for so long is not told any more.
+LEASE_MS = 2_000.0
+# Time in which changes are not sent again to a follower that still asks for them.
+SEND_AGAIN_MS = 2_000.0
+# Shorter values are sent as they are.
+DEFLATE_BYTES = 1_024
+DEFLATE_LEVEL = 3
+MAX_VALUE_BYTES = 16_777_216
+
+
+@dataclasses.dataclass(slots=True)
+class _Follower:
+    until_ms: float
+    push: bool
+    revision: int
+    sent_ms: float = float("-inf")
+
+
+class Following:
+    """The messages between a node, those that it follows and those that follow it.
+
+    Args:
+        environment: the node's central object.
+        links: connections to other nodes.
+        nursery: runs the messages.
+        replica: the node's copy of the store.
+        is_fresh: tells whether the node itself reads the store and is up to date.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        links: LinkPool,
+        nursery: trio.Nursery,
+        replica: Replica,
+        is_fresh: t.Callable[[float], bool],
+    ) -> None:
+        self._environment = environment
+        self._links = links
+        self._nursery = nursery
+        self._replica = replica
+        self._is_fresh = is_fresh
+        self._followers: dict[Link, _Follower] = {}
+        self._asked_ms: dict[str, float] = {}
+        self.upstreams = Upstreams(
+            environment.membership.own,
+            environment.settings.peers,
+            environment.rng,
+            environment.now_ms(),
+        )
+
+    def follow(self, addresses: t.Sequence[str], now_ms: float) -> None:
+        """Asks the nodes that are followed to go on telling; the first one for more."""
+        self._asked_ms = {a: s for a, s in self._asked_ms.items() if a in addresses}
+        for index, address in enumerate(addresses):
+            asked_ms = self._asked_ms.get(address, float("-inf"))
+            if now_ms - asked_ms >= FOLLOW_PERIOD_MS:
+                self._asked_ms[address] = now_ms
+                self._nursery.start_soon(self._ask, address, index == 0)
+
+    def on_follow(self, link: Link, message: wire.Message) -> None:
+        """Takes in that a node follows this one, and tells it what it lacks."""
+        now_ms = self._environment.now_ms()
+        known = self._followers.get(link)
+        if known is None or known.revision < message.after:
+            known = _Follower(0, message.push, message.after)
+            self._followers[link] = known
+        known.push = message.push
+        known.until_ms = now_ms + LEASE_MS
+        again = now_ms - known.sent_ms > SEND_AGAIN_MS
+        if message.after < self._replica.revision and message.push:
+            if again:
+                known.revision = message.after
+            self._send_changes(link, known, now_ms)
+        link.send_soon(self.revision_message(answer=True))
+
+    def on_revision(self, link: Link, message: wire.Message) -> None:
+        """Notes whether a node that is followed is up to date."""
+        if link.peer is None:
+            return
+        now_ms = self._environment.now_ms()
+        address = link.peer.host.address
+        if message.fresh and message.revision >= self._replica.revision:
+            self.upstreams.heard(address, True, now_ms)
+        elif message.answer and not message.fresh:
+            self.upstreams.heard(address, False, now_ms)
+
+    def publish(self) -> None:
+        """Tells those that follow this node of a change."""
+        now_ms = self._environment.now_ms()
+        ended = [
+            link
+            for link, follower in self._followers.items()
+            if link.closed or follower.until_ms < now_ms
+        ]
+        for link in ended:
+            del self._followers[link]
+        for link, follower in self._followers.items():
+            if follower.push:
+                self._send_changes(link, follower, now_ms)
+            else:
+                link.send_soon(self.revision_message(answer=False))
+
+    def revision_message(self, answer: bool) -> wire.Message:
+        """Returns what the node tells of its copy."""
+        fresh = self._is_fresh(self._environment.now_ms())
+        return wire.RevisionMessage(self._replica.revision, answer, fresh)
+
+    def _send_changes(self, link: Link, follower: _Follower, now_ms: float) -> None:
+        if follower.revision >= self._replica.revision:
+            return
+        link.send_soon(items_message(self._replica.since(follower.revision)))
+        follower.revision = self._replica.revision
+        follower.sent_ms = now_ms
+
+    async def _ask(self, address: str, push: bool) -> None:
+        try:
+            link = await self._links.get(address)
+        except RequestError as error:
+            self._environment.log.debug(
+                "peer_unreachable", address=address, reason=error.message
+            )
+            self.upstreams.lost(address, self._environment.now_ms())
+            return
+        await link.send(wire.FollowMessage(self._replica.revision, push))
+
+
+def items_message(reading: Reading) -> wire.Message:
+    """Converts a reading to its message."""
+    items = [_store_item(item) for item in reading.items]
+    return wire.ItemsMessage(reading.base, reading.revision, items)
+
+
+def reading_of(message: wire.Message) -> Reading:
+    """Converts a message to a reading.
+
+    Raises:
+        WireError: a value cannot be inflated.
+    """
+    items = tuple(
+        Item(item.key, _value(item), item.revision, item.deleted)
+        for item in message.items
+    )
+    return Reading(items, message.revision, message.base)
+
+
+def _store_item(item: Item) -> wire.Message:
+    deflated = len(item.value) >= DEFLATE_BYTES
+    value = _deflated(item.value) if deflated else item.value
+    return wire.StoreItem(item.key, value, item.revision, item.deleted, deflated)
+
+
+@functools.lru_cache(maxsize=4)
+def _deflated(value: bytes) -> bytes:
+    return zlib.compress(value, DEFLATE_LEVEL)
+
+
+def _value(item: wire.Message) -> bytes:
+    if not item.deflated:
+        return item.value
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(item.value, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise WireError(
+            ErrorKind.FRAME_INVALID, f"value of {item.key!r}: {error}"
+        ) from error
+    if not inflater.eof:
+        raise WireError(
+            ErrorKind.FRAME_INVALID,
+            f"value of {item.key!r} is cut short or exceeds {MAX_VALUE_BYTES} bytes",
+        )
+    return value
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -1,7 +1,7 @@
 """Keeps the node's copy of the platform's store; sole writer of what follows from it.
 
-Each node watches the store itself. Nodes compare revisions now and then, so that one
-that the store turns away, or whose connection went silent, learns from its peers.
+A few readers watch the store, the other nodes follow them. Nodes also compare revisions
+with random peers, so that one whose upstreams lag learns of it.
 """
 
 import dataclasses
@@ -12,7 +12,6 @@
 from cactushook import HostState
 from cactushook import Pause
 from cactushook import RequestError
-from cactushook import SourceError
 from cactushook import WireError
 from cactushook.boot import Ready
 from cactushook.fleet import Fleet
@@ -23,15 +22,20 @@
 from . import wire
 from .adapters import Adapter
 from .environment import Environment
+from .following import Following
+from .following import items_message
+from .following import reading_of
 from .link_pool import LinkPool
 from .links import Link
+from .store_reader import StoreReader
 
+PLAN_PERIOD_MS = 100
 # A peer that is ahead may have heard of a change moments before this node does.
 PULL_DELAY_MS = 250
-FIRST_BACKOFF_MS = 50.0
-MAX_BACKOFF_MS = 800.0
 # An outage of the store at least this long may have let records lapse.
 OUTAGE_MS = 1_000.0
+# Time without a reader that is up to date after which the store counts as away.
+STALE_MS = 300.0
 LAPSED_PERIOD_MS = 100
 # Kept from the time that a leaving host's work may go on: the record may have
 # vanished a moment before the node saw the store again.
@@ -68,18 +72,26 @@
         self._links = links
         self._nursery = nursery
         self._replica = Replica()
+        self._reader = StoreReader(
+            environment,
+            adapter.source,
+            lambda: self._replica.revision,
+            self._on_reading,
+            self._on_outage,
+        )
+        self._following = Following(
+            environment, links, nursery, self._replica, self._reader.is_fresh
+        )
         self._lingering: dict[str, _Lingering] = {}
-        self._watch_scope = trio.CancelScope()
-        self._must_read = True
         self._failing_since_ms: float | None = None
-        self._backoff_ms = FIRST_BACKOFF_MS
         self._pull_due = False
         self._faults: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Starts to watch the store and to ask peers."""
         environment = self._environment
-        self._nursery.start_soon(self._follow)
+        self._nursery.start_soon(self._reader.run)
+        environment.timers.every(PLAN_PERIOD_MS, self._on_plan, first_ms=0)
         period_ms = environment.settings.gossip_period_ms
         environment.timers.every(period_ms, self._on_gossip, first_ms=0)
         environment.timers.every(LAPSED_PERIOD_MS, self._drop_lapsed)
@@ -94,18 +106,20 @@
     async def on_hello(self, link: Link, hello: wire.Message) -> None:
         """Takes in the first message of a connection."""
         self._links.adopt(link)
-        link.send_soon(wire.RevisionMessage(self._replica.revision, False))
+        link.send_soon(self._following.revision_message(answer=False))
 
     async def on_news(self, link: Link, message: wire.Message) -> None:
         """Takes in one control message."""
         match message:
             case wire.RevisionMessage():
+                self._following.on_revision(link, message)
                 self._on_revision(link, message)
+            case wire.FollowMessage():
+                self._following.on_follow(link, message)
             case wire.ItemsPullMessage():
-                reading = self._replica.since(message.after)
-                link.send_soon(_items_message(reading))
+                link.send_soon(items_message(self._replica.since(message.after)))
             case wire.ItemsMessage():
-                self._take(_reading(message), "peer")
+                self._take(reading_of(message), "peer")
             case _:
                 raise WireError(
                     ErrorKind.FRAME_INVALID,
@@ -126,58 +140,45 @@
             return
         await link.send(message)
 
-    async def _follow(self) -> None:
-        while True:
-            with trio.CancelScope() as self._watch_scope:
-                try:
-                    await self._read_once()
-                    self._answered()
-                except SourceError as error:
-                    await self._failed(error)
-
-    async def _read_once(self) -> None:
-        source = self._adapter.source
-        if self._must_read:
-            reading = await source.read()
-            self._must_read = False
-        else:
-            reading = await source.watch(self._replica.revision)
-        self._environment.log.debug(
-            "store_read", revision=reading.revision, count=len(reading.items)
-        )
+    def _on_plan(self, now_ms: float) -> None:
+        """Follows the plan and notes whether the store is within reach."""
+        upstreams = self._following.upstreams
+        plan = upstreams.plan(now_ms)
+        self._reader.is_reader = upstreams.is_reader
+        self._reader.set_reading(plan.reads)
+        self._following.follow(plan.follows, now_ms)
+        if self._reader.is_fresh(now_ms) or upstreams.is_fresh(now_ms):
+            self._failing_since_ms = None
+            self._note_reachable(True)
+        elif self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
+        elif now_ms - self._failing_since_ms > STALE_MS:
+            self._note_reachable(False, "no reader is up to date")
+
+    def _on_reading(self, reading: Reading) -> None:
         self._take(reading, "store")
 
-    def _answered(self) -> None:
-        self._failing_since_ms = None
-        self._backoff_ms = FIRST_BACKOFF_MS
-        self._note_reachable(True)
-
-    async def _failed(self, error: SourceError) -> None:
+    def _on_outage(self, reason: str) -> None:
         environment = self._environment
-        # A watch that broke off may have missed changes that were forgotten since.
-        self._must_read = True
-        if error.kind is ErrorKind.SOURCE_HISTORY_LOST:
-            environment.log.warning("store_history_lost", reason=error.message)
+        now_ms = environment.now_ms()
+        if self._following.upstreams.is_fresh(now_ms):
+            environment.log.debug("source_failed", reason=reason)
             return
-        environment.log.debug("source_failed", reason=str(error))
         if self._failing_since_ms is None:
-            self._failing_since_ms = environment.now_ms()
-        self._note_reachable(False, error.message)
-        self._on_gossip(environment.now_ms())
-        await trio.sleep(self._backoff_ms * environment.rng.uniform(0.5, 1) / 1_000)
-        self._backoff_ms = min(MAX_BACKOFF_MS, 2 * self._backoff_ms)
+            self._failing_since_ms = now_ms
+        self._note_reachable(False, reason)
+        self._on_gossip(now_ms)
 
     def _note_reachable(self, reachable: bool, reason: str = "") -> None:
         board = self._environment.board
         if board.source_reachable.value is reachable:
             return
-        if not reachable:
+        if reachable:
+            self._environment.log.info("store_reachable")
+        else:
             self._environment.log.warning("store_failed", reason=reason)
         board.source_reachable.write(reachable)
 
-    def _restart_watch(self) -> None:
-        self._watch_scope.cancel()
-
     def _take(self, reading: Reading, origin: str) -> None:
         environment = self._environment
         before = self._replica.items.copy()
@@ -193,6 +194,7 @@
         )
         self._keep_lapsed(news, before)
         self._publish()
+        self._following.publish()
 
     def _keep_lapsed(
         self, news: t.Iterable[Item], before: t.Mapping[str, Item]
@@ -225,6 +227,7 @@
         fleet = self._adapter.fleet({**lingering, **self._replica.items})
         self._log_faults(fleet)
         environment.membership.replace_all(fleet.hosts)
+        self._following.upstreams.see_hosts(fleet.hosts)
         board = environment.board
         if fleet.limits is not None and fleet.limits != board.caller_limits.value:
             board.caller_limits.write(fleet.limits)
@@ -267,7 +270,7 @@
         if message.revision > own:
             self._pull_soon(link, message.revision)
         elif message.revision < own and not message.answer:
-            link.send_soon(wire.RevisionMessage(own, True))
+            link.send_soon(self._following.revision_message(answer=True))
 
     def _pull_soon(self, link: Link, revision: int) -> None:
         environment = self._environment
@@ -283,7 +286,7 @@
             if self._replica.revision >= revision:
                 return
             environment.log.warning("watch_behind", peer_revision=revision)
-            self._restart_watch()
+            self._reader.restart()
             link.send_soon(wire.ItemsPullMessage(self._replica.revision))
 
         environment.timers.after(PULL_DELAY_MS, pull)
@@ -291,7 +294,7 @@
     def _on_gossip(self, now_ms: float) -> None:
         address = self._random_peer()
         if address is not None:
-            message = wire.RevisionMessage(self._replica.revision, False)
+            message = self._following.revision_message(answer=False)
             self._nursery.start_soon(self.send_to, address, message)
 
     def _random_peer(self) -> str | None:
@@ -307,22 +310,5 @@
     def _on_pause(self, pause: Pause) -> None:
         environment = self._environment
         environment.log.warning("paused", length_ms=int(pause.length_ms))
-        self._nursery.start_soon(self._adapter.source.close)
-        self._restart_watch()
+        self._nursery.start_soon(self._reader.drop_connections)
         self._on_gossip(environment.now_ms())
-
-
-def _items_message(reading: Reading) -> wire.Message:
-    items = [
-        wire.StoreItem(item.key, item.value, item.revision, item.deleted)
-        for item in reading.items
-    ]
-    return wire.ItemsMessage(reading.base, reading.revision, items)
-
-
-def _reading(message: wire.Message) -> Reading:
-    items = tuple(
-        Item(item.key, item.value, item.revision, item.deleted)
-        for item in message.items
-    )
-    return Reading(items, message.revision, message.base)
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -50,6 +50,7 @@
 RevisionMessage = _messages.RevisionMessage
 ItemsPullMessage = _messages.ItemsPullMessage
 ItemsMessage = _messages.ItemsMessage
+FollowMessage = _messages.FollowMessage
 Envelope = _messages.Envelope
 
 Message: t.TypeAlias = t.Any
@@ -66,6 +67,7 @@
     RevisionMessage,
     ItemsPullMessage,
     ItemsMessage,
+    FollowMessage,
 )
 
 _FRAME_HEAD = struct.Struct("!II")
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -181,12 +181,22 @@
   2: binary value,
   3: i64 revision,
   4: bool deleted,
+  5: bool deflated = 0,
 }
 
-// The store's revision that the sender has read up to.
+// The store's revision that the sender has read up to. With `fresh` set it is a reader
+// whose calls to the store have just been answered.
 struct RevisionMessage {
   1: i64 revision,
   2: bool answer,
+  3: bool fresh = 0,
+}
+
+// Asks to be told of changes for a moment; sent again and again. With `push` set the
+// changes themselves are sent.
+struct FollowMessage {
+  1: i64 after,
+  2: bool push,
 }
 
 // Asks for what changed after a revision.
@@ -224,4 +234,5 @@
   20: RevisionMessage revision,
   21: ItemsPullMessage items_pull,
   22: ItemsMessage items,
+  23: FollowMessage follow,
 }
