Give a worker that fails what it is sent fewer requests

Change: a circuit breaker at the gate (cactushook.breaker). While it is open the gate refuses before anything is sent, so the entry asks elsewhere at no cost; one request that may be repeated is let through each 500 ms; the last gate that an entry may ask runs the request anyway, so that a service whose workers all fail alike is still served. Failures that follow from a failed call of the worker do not count. The last resort among workers that take nothing goes by load instead of by name.

--- /dev/null
+++ b/features/steps/breaker.py
@@ -0,0 +1,144 @@
+"""Steps on the circuit breaker in front of a worker."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from cactushook import EMPTY_SNAPSHOT
+from cactushook import HostRecord
+from cactushook import Refusal
+from cactushook import Router
+from cactushook.breaker import Breaker
+from cactushook.breaker import TRIAL_PERIOD_MS
+from cactushook.calls import Load
+from cactushook.dispatch import Dispatch
+from cactushook.dispatch import SendTo
+from cactushook.dispatch import View
+from cactushook.exceptions import ErrorKind
+from overload_patterns import request
+
+START_MS = 60_000.0
+
+
+@given("a breaker in front of a worker")
+def breaker(context):
+    context.breaker = Breaker()
+    context.now_ms = START_MS
+
+
+def end_runs(context, count, length_ms, failed, excused=False):
+    for index in range(count):
+        context.now_ms += length_ms / count
+        fails = index * failed // count != (index + 1) * failed // count
+        if fails and excused:
+            context.breaker.excuse(context.now_ms)
+        context.breaker.ended(fails, context.now_ms)
+
+
+@when("{count:d} runs end within {length_ms:d} ms and {failed:d} of them fail")
+def runs_end(context, count, length_ms, failed):
+    end_runs(context, count, length_ms, failed)
+
+
+@when(
+    "{count:d} runs end within {length_ms:d} ms and {failed:d} of them fail after a "
+    "call of theirs failed"
+)
+def runs_end_excused(context, count, length_ms, failed):
+    end_runs(context, count, length_ms, failed, excused=True)
+
+
+@then("it is open")
+def is_open(context):
+    assert context.breaker.is_open
+
+
+@then("it is closed")
+def is_closed(context):
+    assert not context.breaker.is_open
+
+
+@then("requests that must not be repeated are turned away")
+def turned_away(context):
+    assert not context.breaker.allows(False, False, context.now_ms)
+
+
+def let_through(context):
+    context.now_ms += TRIAL_PERIOD_MS
+    assert context.breaker.allows(True, False, context.now_ms)
+
+
+@then("one request that may be repeated is let through each 500 ms")
+def one_each(context):
+    for _ in range(3):
+        let_through(context)
+        assert not context.breaker.allows(True, False, context.now_ms + 499)
+
+
+@when("{count:d} requests that are let through are answered")
+def trials_answered(context, count):
+    for _ in range(count):
+        let_through(context)
+        context.breaker.ended(False, context.now_ms)
+
+
+@when("{count:d} requests that are let through fail")
+def trials_fail(context, count):
+    for _ in range(count):
+        let_through(context)
+        context.breaker.ended(True, context.now_ms)
+
+
+@then("a request that insists is let through")
+def insists(context):
+    assert context.breaker.allows(False, True, context.now_ms)
+
+
+def worker_host(number):
+    return HostRecord(
+        name=f"h{number}",
+        address=f"a{number}",
+        domain="d",
+        region="r",
+        service="s",
+        incarnation=1,
+    )
+
+
+@then("the last of {count:d} gates is told that no other takes the request")
+def last_is_told(context, count):
+    router = Router("d", "r", random.Random(1))
+    view = View(EMPTY_SNAPSHOT, [worker_host(number) for number in range(9)])
+    call = request(START_MS)
+    decisions = Dispatch(call, router, context.budget, context.redirects)
+    step = decisions.first(view, START_MS)
+    told = []
+    while isinstance(step, SendTo):
+        told.append(step.call.insists)
+        refusal = Refusal(ErrorKind.WORKER_FAILING, "fails")
+        step = decisions.failed(refusal, view, START_MS)
+    assert told == [False] * (count - 1) + [True], told
+
+
+@given("an entry that knows {count:d} workers which take no work for now")
+def knows_failing(context, count):
+    context.hosts = [worker_host(number) for number in range(count)]
+    context.router = Router("d", "r", random.Random(1))
+    for host in context.hosts:
+        context.router.report(host.name, Load(0, 0, 9, accepting=False), START_MS)
+
+
+@when("it has to choose one of them {count:d} times")
+def chooses(context, count):
+    context.chosen = []
+    for _ in range(count):
+        choice = context.router.choose("s", EMPTY_SNAPSHOT, context.hosts, START_MS)
+        context.router.started(choice.host.name)
+        context.chosen.append(choice.host.name)
+
+
+@then("each of them is chosen at least {least:d} times")
+def chosen_evenly(context, least):
+    counts = [context.chosen.count(host.name) for host in context.hosts]
+    assert min(counts) >= least, counts
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -159,6 +159,8 @@
             await emit(ReplyRefused(error.kind, error.message))
         finally:
             self._serving -= 1
+            if request.nested and trace.outcome != ANSWERED:
+                self._gate.nested_failed()
             trace.log(environment.log, environment.now_ms())
 
     def _route(self, request: EntryRequest) -> BoundRoute:
@@ -245,6 +247,8 @@
             if isinstance(step, SendTo):
                 environment.metrics.retries.labels(refusal.kind.value).inc()
         if held is not None and step.refusal.kind is ErrorKind.WORKER_FAILED:
+            if call.nested:
+                self._gate.nested_failed()
             await emit(held)
             return
         raise RefusedError(step.refusal)
@@ -529,6 +533,7 @@
         priority=call.priority,
         nested=call.nested,
         resent=call.resent,
+        insists=call.insists,
     )
 
 
@@ -555,4 +560,5 @@
         priority=message.priority,
         nested=message.nested,
         resent=message.resent,
+        insists=message.insists,
     )
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -49,6 +49,7 @@
 ANSWER_MARGIN_MS = 3
 CHECK_PERIOD_S = 0.25
 HEALTH_TIMEOUT_S = 1.0
+_SERVER_ERROR = 500
 
 
 # Failures after which the backend server may have crashed or restarted.
@@ -146,6 +147,10 @@
         """Refuses new work from now on; running and waiting work goes on."""
         self._keeper.drain()
 
+    def nested_failed(self) -> None:
+        """Notes that a call which the backend server made was not answered."""
+        self._keeper.breaker.excuse(self._environment.now_ms())
+
     def on_run(self, listener: t.Callable[[Call], None]) -> None:
         """Calls back when a request is sent to the backend server."""
         self._run_listeners.append(listener)
@@ -294,7 +299,10 @@
         return self._verdicts.pop(call.request_id)
 
     def _end(self, call: Call, outcome: Outcome) -> Refusal | None:
-        ended = self._keeper.ended(call, outcome, self._environment.now_ms())
+        now_ms = self._environment.now_ms()
+        was_open = self._keeper.breaker.is_open
+        ended = self._keeper.ended(call, outcome, now_ms)
+        self._log_breaker(was_open, call)
         self._settle(ended.verdicts)
         if isinstance(outcome, Failed) and outcome.kind in _DOUBTFUL:
             self._check_soon()
@@ -303,6 +311,17 @@
                 listener(news)
         return ended.refusal
 
+    def _log_breaker(self, was_open: bool, call: Call) -> None:
+        is_open = self._keeper.breaker.is_open
+        if is_open is was_open:
+            return
+        self._environment.log.warning(
+            "breaker_turned",
+            is_open=is_open,
+            request_id=call.request_id[:MAX_ID_CHARACTERS],
+            instance=self._keeper.instance,
+        )
+
     def _settle(self, verdicts: t.Iterable[GateVerdict]) -> None:
         for verdict in verdicts:
             request_id = verdict.call.request_id
@@ -351,7 +370,9 @@
                 await self._relay(call, reply, emit.emit, scope)
                 return Answered(latency_ms, self._instance(reply.headers), emit.answer)
             await self._relay(call, reply, emit, scope)
-            return Answered(latency_ms, self._instance(reply.headers))
+            failed = reply.status >= _SERVER_ERROR
+            instance = self._instance(reply.headers)
+            return Answered(latency_ms, instance, failed=failed)
         raise AssertionError("a worker's reply is never suppressed")
 
     async def _relay(
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -54,6 +54,7 @@
   19: i32 priority = 0,
   20: bool nested = false,
   21: bool resent = false,
+  22: bool insists = false,
 }
 
 // Start of a worker's answer; `last` when the body is whole.
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -116,6 +116,10 @@
         """The requests at the worker."""
         return tuple(item.call for item in self._running.values())
 
+    def started_ms(self, request_id: str) -> float:
+        """Returns when a request that is at the worker was sent to it."""
+        return self._running[request_id].since_ms
+
     @property
     def waiting(self) -> tuple[Call, ...]:
         """The requests that wait for a slot."""
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -30,6 +30,7 @@
         priority: rank in a queue, 0 first.
         nested: whether the request was made by work that runs at a worker.
         resent: whether an earlier send of the request reached a worker.
+        insists: whether no other gate is asked if this one refuses.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     priority: int = 0
     nested: bool = False
     resent: bool = False
+    insists: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/cactushook/src/cactushook/dispatch.py
+++ b/packages/cactushook/src/cactushook/dispatch.py
@@ -145,11 +145,15 @@
             detail = f"no worker of {call.service!r} takes work"
             return self._refuse(last or Refusal(ErrorKind.NO_WORKER, detail))
         left = call.attempts_left - self._sent
+        failing = last is not None and last.kind is ErrorKind.WORKER_FAILING
         self._asked = choice.host
         self._tried.append(choice.host.name)
         self._sent += 1
         sent = dataclasses.replace(
-            call, attempts_left=left, resent=self._sent > 1 or call.resent
+            call,
+            attempts_left=left,
+            resent=self._sent > 1 or call.resent,
+            insists=failing and self._redirects_left == 0,
         )
         return SendTo(choice.host, sent, call.deadline_ms - now_ms)
 
--- a/packages/cactushook/src/cactushook/exceptions.py
+++ b/packages/cactushook/src/cactushook/exceptions.py
@@ -72,6 +72,7 @@
     WORKER_REPLACED = "worker_replaced"
     WORKER_UNKNOWN = "worker_unknown"
     WORKER_FAILED = "worker_failed"
+    WORKER_FAILING = "worker_failing"
     ANSWER_INVALID = "answer_invalid"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
@@ -159,6 +160,7 @@
     ErrorKind.WORKER_REPLACED: _NOT_RUN,
     ErrorKind.WORKER_UNKNOWN: _NOT_RUN,
     ErrorKind.WORKER_FAILED: _MAYBE,
+    ErrorKind.WORKER_FAILING: _NOT_RUN,
     ErrorKind.ANSWER_INVALID: _MAYBE,
     ErrorKind.PEER_UNREACHABLE: _NOT_RUN,
     ErrorKind.PEER_LOST: _MAYBE,
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -13,6 +13,7 @@
 from .admission import Dropped
 from .admission import MIXED_BULK_SHARE
 from .admission import Verdict
+from .breaker import Breaker
 from .calls import Call
 from .calls import Listing
 from .calls import Load
@@ -51,6 +52,18 @@
     )
 )
 
+# Ends of a request that speak against the worker that ran it.
+WORKER_AT_FAULT = frozenset(
+    (
+        ErrorKind.WORKER_LOST,
+        ErrorKind.WORKER_REJECTED,
+        ErrorKind.ANSWER_INVALID,
+    )
+)
+# A request that got no answer in so long speaks against the worker too; one that came
+# with less time left does not.
+HANG_MS = 500.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Joined:
@@ -72,11 +85,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """The worker answered; ``stored`` is kept for copies of a keyed request."""
+    """The worker answered.
+
+    Attributes:
+        latency_ms: time until the answer began.
+        instance: identity of the worker's start, if the answer tells it.
+        stored: kept for copies of a keyed request.
+        failed: whether the answer reports a failure of the worker.
+    """
 
     latency_ms: float
     instance: bytes = b""
     stored: once.StoredAnswer | None = None
+    failed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +154,7 @@
         self.admission: Admission | None = None
         self._once = once.OnceTable()
         self._latencies = LatencyWatch()
+        self.breaker = Breaker()
         self._instance = b""
         self._blamed: frozenset[str] = frozenset()
         self._stale_until_ms = 0.0
@@ -186,6 +208,7 @@
     ) -> None:
         if _start(before) != _start(listing):
             self._replaced = ""
+            self.breaker.reset()
             self.told_cold(listing.cold_remaining_ms, now_ms)
         elif listing.cold_remaining_ms != before.cold_remaining_ms:
             self.told_cold(listing.cold_remaining_ms, now_ms)
@@ -226,6 +249,7 @@
     def came_back(self, now_ms: float) -> None:
         """Notes that the backend server accepts connections again."""
         self._is_down = False
+        self.breaker.reset()
         self.may_be_cold(now_ms)
 
     @property
@@ -266,7 +290,7 @@
         if self.admission is None:
             return Load(capacity=0, accepting=False)
         load = self.admission.load(now_ms)
-        if self._unlisted() is not None:
+        if self._unlisted() is not None or self.breaker.is_open:
             return dataclasses.replace(load, accepting=False)
         return load
 
@@ -322,6 +346,8 @@
     def ended(self, call: Call, outcome: Outcome, now_ms: float) -> Ended:
         """Takes in how an admitted request ended; the worker is done with it."""
         admission = t.cast(Admission, self.admission)
+        if self._needs_listing:
+            self._note_health(call, outcome, now_ms)
         crashes: tuple[CrashNews, ...] = ()
         match outcome:
             case Answered():
@@ -342,6 +368,17 @@
         verdicts = self._noted(admission.release(call.request_id, now_ms))
         return Ended(tuple(verdicts), crashes, refusal)
 
+    def _note_health(self, call: Call, outcome: Outcome, now_ms: float) -> None:
+        match outcome:
+            case Answered(failed=failed):
+                self.breaker.ended(failed, now_ms)
+            case Failed(ErrorKind.DEADLINE_EXCEEDED):
+                admission = t.cast(Admission, self.admission)
+                if now_ms - admission.started_ms(call.request_id) >= HANG_MS:
+                    self.breaker.ended(True, now_ms)
+            case Failed(kind) if kind in WORKER_AT_FAULT:
+                self.breaker.ended(True, now_ms)
+
     def _offer_keyed(
         self,
         call: Call,
@@ -454,6 +491,10 @@
         if self.crashes.is_refused(call.fingerprint, now_ms):
             detail = "this request crashed backend servers before"
             return Refusal(ErrorKind.CRASH_SUSPECT, detail)
+        may_repeat = call.route_class is RouteClass.IDEMPOTENT
+        if not self.breaker.allows(may_repeat, call.insists, now_ms):
+            detail = "the backend server fails most of its requests"
+            return Refusal(ErrorKind.WORKER_FAILING, detail)
         return None
 
     def _answered(self, call: Call, outcome: Answered, now_ms: float) -> None:
--- a/packages/cactushook/src/cactushook/retries.py
+++ b/packages/cactushook/src/cactushook/retries.py
@@ -52,6 +52,7 @@
         ErrorKind.PEER_UNREACHABLE,
         ErrorKind.WORKER_UNREACHABLE,
         ErrorKind.WORKER_UNKNOWN,
+        ErrorKind.WORKER_FAILING,
     )
 )
 
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -33,6 +33,7 @@
     ErrorKind.WORKER_REPLACED: 500,
     ErrorKind.WORKER_UNKNOWN: 500,
     ErrorKind.WORKER_FAILED: 20,
+    ErrorKind.WORKER_FAILING: 500,
     ErrorKind.ANSWER_INVALID: 20,
     ErrorKind.DOMAIN_OUT: 2_000,
 }
@@ -157,7 +158,7 @@
             return Choice(least, tuple(passed))
         if usable:
             return Choice(self._pick(usable, now_ms, spill_ratio), tuple(passed))
-        return Choice(self._least_bad(doubtful), tuple(passed))
+        return Choice(self._least_bad(doubtful, now_ms), tuple(passed))
 
     def _doubt(self, host: HostRecord, now_ms: float) -> str:
         if self._domain_until_ms.get(host.domain, 0.0) > now_ms:
@@ -172,16 +173,18 @@
             return "does not accept work"
         return ""
 
-    def _least_bad(self, doubtful: list[HostRecord]) -> HostRecord | None:
-        return min(
-            doubtful,
-            key=lambda host: (
-                self._domain_until_ms.get(host.domain, 0.0),
-                self._get(host.name).avoid_until_ms,
+    def _least_bad(
+        self, doubtful: list[HostRecord], now_ms: float
+    ) -> HostRecord | None:
+        def rank(host: HostRecord) -> tuple[float, float, float, str]:
+            return (
+                max(now_ms, self._domain_until_ms.get(host.domain, 0.0)),
+                max(now_ms, self._get(host.name).avoid_until_ms),
+                self._ratio(host, now_ms),
                 host.name,
-            ),
-            default=None,
-        )
+            )
+
+        return min(doubtful, key=rank, default=None)
 
     def _pick(
         self, usable: list[HostRecord], now_ms: float, spill_ratio: float
