Run feature files side by side, each in a process of its own

Change: features.run starts up to four processes, one for each feature file, and gathers their results; every check is kept. A file without results counts as broken off.

--- a/features/run.py
+++ b/features/run.py
@@ -1,11 +1,18 @@
 """Runs behave and prints the closing line that CI reads.
 
-Scenarios named in ``KNOWN-RED.txt`` are printed and passed over; every other
-failure makes the exit status 1.
+Feature files run side by side, each in a process of its own. Scenarios named in
+``KNOWN-RED.txt`` are printed and passed over; every other failure makes the exit
+status 1.
 """
 
+import concurrent.futures
+import dataclasses
+import json
+import os
 import pathlib
+import subprocess
 import sys
+import time
 import typing as t
 
 from behave.configuration import Configuration
@@ -16,6 +23,29 @@
 PLATFORM = ROOT / "platform"
 SUITES = (ROOT / "features", PLATFORM / "features")
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+# Some features run a dozen processes themselves.
+MAX_WORKERS = 4
+LIMIT_S = 900
+# Runs a single file and tells the results on the last line.
+WORKER_FLAG = "--worker"
+# These take longest; the others fill up the time beside them.
+LONGEST_FIRST = (
+    "product_node",
+    "faults_processes",
+    "stop_and_reload",
+    "processes",
+    "distribution_sessions",
+    "serving_departure",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """How one scenario ended."""
+
+    name: str
+    location: str
+    status: str
 
 
 def known_red() -> frozenset[str]:
@@ -25,44 +55,85 @@
     return frozenset(entry.split("|")[0].strip() for entry in entries)
 
 
-def all_scenarios(runner: Runner) -> t.Iterator[t.Any]:
-    """Yields each scenario that the runner has loaded, outlines expanded."""
-    for feature in runner.features:
-        yield from feature.walk_scenarios()
-
-
-def run_paths(paths: list[str]) -> tuple[bool, list[t.Any]]:
-    """Runs the features below paths; returns whether it broke off and all scenarios."""
-    config = Configuration(command_args=["--no-capture", "--format=progress", *paths])
+def run_file(path: str) -> int:
+    """Runs one feature file and prints its results as JSON on the last line."""
+    sys.path.append(str(PLATFORM))
+    config = Configuration(command_args=["--no-capture", "--format=progress", path])
     runner = Runner(config)
     aborted = runner.run() and runner.aborted
-    return aborted, list(all_scenarios(runner))
-
-
-def _by_suite(paths: list[str]) -> list[list[str]]:
-    """Groups paths by the suite whose steps they need."""
-    platform = [path for path in paths if path.startswith("platform")]
-    others = [path for path in paths if path not in platform]
-    return [group for group in (others, platform) if group]
+    results = [
+        [scenario.name, str(scenario.location), _status(scenario.status)]
+        for feature in runner.features
+        for scenario in feature.walk_scenarios()
+    ]
+    print("\n" + json.dumps({"aborted": bool(aborted), "results": results}))
+    return 0
+
+
+def _status(status: Status) -> str:
+    if status == Status.passed:
+        return "passed"
+    return "failed" if status.is_failure() or status.is_error() else "untested"
+
+
+def _run_child(path: pathlib.Path) -> tuple[bool, list[Result]]:
+    """Runs a feature file in a process and prints what it wrote."""
+    started_s = time.monotonic()
+    command = [sys.executable, "-m", "features.run", WORKER_FLAG, str(path)]
+    child = subprocess.run(
+        command,
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        timeout=LIMIT_S,
+        check=False,
+    )
+    text = child.stdout.decode(errors="backslashreplace")
+    output, _, last = text.rstrip("\n").rpartition("\n")
+    print(f"{output}\n{path.name}: {time.monotonic() - started_s:.1f} s", flush=True)
+    try:
+        told = json.loads(last)
+    except ValueError:
+        print(f"{path.name}: no results; exit status {child.returncode}: {last}")
+        return True, []
+    return told["aborted"], [Result(*fields) for fields in told["results"]]
+
+
+def _files(arguments: list[str]) -> list[pathlib.Path]:
+    """Returns the feature files below the paths given, the longest ones first."""
+    paths = [pathlib.Path(a).resolve() for a in arguments] or list(SUITES)
+    found = [
+        file
+        for path in paths
+        for file in (sorted(path.rglob("*.feature")) if path.is_dir() else [path])
+    ]
+    rank = {name: index for index, name in enumerate(LONGEST_FIRST)}
+    return sorted(found, key=lambda file: rank.get(file.stem, len(rank)))
+
+
+def _run_all(files: list[pathlib.Path]) -> t.Iterator[tuple[bool, list[Result]]]:
+    workers = max(1, min(MAX_WORKERS, os.cpu_count() or 1))
+    with concurrent.futures.ThreadPoolExecutor(workers) as pool:
+        yield from pool.map(_run_child, files)
 
 
 def main(arguments: list[str]) -> int:
     """Runs the features given (all by default) and returns the exit status."""
-    sys.path.append(str(PLATFORM))
-    groups = _by_suite(arguments) if arguments else [[str(path)] for path in SUITES]
-    results = [run_paths(paths) for paths in groups]
-    aborted = any(broken for broken, _ in results)
+    if arguments[:1] == [WORKER_FLAG]:
+        return run_file(arguments[1])
+    outcomes = list(_run_all(_files(arguments)))
+    aborted = any(broken for broken, _ in outcomes)
     known = known_red()
-    scenarios = [scenario for _, found in results for scenario in found]
-    passed = [s for s in scenarios if s.status == Status.passed]
-    red = [s for s in scenarios if s.status.is_failure() or s.status.is_error()]
-    untested = [s for s in scenarios if s not in passed and s not in red]
-    failed = [s for s in red if s.name not in known]
-    for scenario in red:
-        label = "known red" if scenario.name in known else "FAILED"
-        print(f"{label}: {scenario.location} {scenario.name}")
-    for scenario in untested:
-        print(f"not run: {scenario.location} {scenario.name}")
+    results = [result for _, found in outcomes for result in found]
+    passed = [r for r in results if r.status == "passed"]
+    red = [r for r in results if r.status == "failed"]
+    untested = [r for r in results if r.status == "untested"]
+    failed = [r for r in red if r.name not in known]
+    for result in red:
+        label = "known red" if result.name in known else "FAILED"
+        print(f"{label}: {result.location} {result.name}")
+    for result in untested:
+        print(f"not run: {result.location} {result.name}")
     print(f"{len(passed)} passed, {len(failed)} failed")
     return 1 if failed or aborted or untested or not passed else 0
 
