Pace large answers below the link's rate; free a worker's slot once it has answered

Cause: on thin links answers of downloads filled the link's queue. A download held its worker's slot until the network had taken its answer. Change: cactushook.pacing spaces parts of large answers between nodes below the link's rate (settings: link_mbps), parts are 32 KB; the gate takes an answer of up to 2 MB whole (24 MB in all) and ends the request at the worker before it sends it on.

--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -17,6 +17,7 @@
 from cactushook import VersionStore
 from cactushook.calls import Listing
 from cactushook.fleet import CallerLimits
+from cactushook.pacing import Pacer
 
 from . import logs
 from .headers import header_names
@@ -92,6 +93,7 @@
         if settings_file is not None:
             self._settings_changed_ns = settings_file.stat().st_mtime_ns
             self.timers.every(SETTINGS_PERIOD_MS, self._watch_settings)
+        self.pacer = Pacer(settings.link_mbps)
         self.store = VersionStore()
         self.membership = Membership(self._own_record())
 
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -49,6 +49,11 @@
 ANSWER_MARGIN_MS = 3
 CHECK_PERIOD_S = 0.25
 HEALTH_TIMEOUT_S = 1.0
+# An answer up to this length is taken from the backend server at once, so that its
+# slot does not wait for the network; longer ones are streamed.
+MAX_BUFFERED_BYTES = 2_097_152
+# The same for all answers together.
+MAX_BUFFERED_TOTAL_BYTES = 25_165_824
 _SERVER_ERROR = 500
 
 
@@ -62,6 +67,31 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    """A whole answer that has still to be sent to the entry."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Exchanged:
+    """An exchange with the backend server; ``reply`` is None if it was streamed."""
+
+    answered: Answered
+    reply: _Reply | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ran:
+    """How a request ended at this gate."""
+
+    refusal: Refusal | None = None
+    reply: _Reply | None = None
+
+
 @dataclasses.dataclass(slots=True)
 class _KeyedRun:
     """A keyed request at this gate, for which its callers wait."""
@@ -122,6 +152,8 @@
         self._crash_listeners: list[t.Callable[[CrashNews], None]] = []
         self._run_listeners: list[t.Callable[[Call], None]] = []
         self._worker: Worker | None = None
+        self._buffered_bytes = 0
+        self._sending = 0
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
         environment.board.snapshot.watch(self._on_snapshot)
         environment.board.listing.watch(self._on_listing)
@@ -136,8 +168,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether nothing runs and nothing waits."""
-        return self._keeper.idle
+        """Whether nothing runs, nothing waits and no answer is being sent."""
+        return self._keeper.idle and not self._sending
 
     def on_crash(self, listener: t.Callable[[CrashNews], None]) -> None:
         """Calls back when a request may have taken its backend server down."""
@@ -188,10 +220,12 @@
         if call.route_class is RouteClass.AT_MOST_ONCE:
             await self._serve_keyed(call, verdict, request, emit)
             return
-        refusal = await self._run(call, verdict, request, emit)
-        self._log_end(call, refusal, offered_ms)
-        if refusal is not None:
-            await self._refuse(refusal, emit)
+        ran = await self._run(call, verdict, request, emit)
+        self._log_end(call, ran.refusal, offered_ms)
+        if ran.refusal is not None:
+            await self._refuse(ran.refusal, emit)
+        elif ran.reply is not None:
+            await self._send(ran.reply, emit)
 
     def _log_end(self, call: Call, refusal: Refusal | None, offered_ms: float) -> None:
         """Logs what became of a request, and the load that decided it."""
@@ -254,7 +288,7 @@
         self, call: Call, verdict: GateVerdict, request: WorkerRequest, run: _KeyedRun
     ) -> None:
         try:
-            run.refusal = await self._run(call, verdict, request, _Kept())
+            run.refusal = (await self._run(call, verdict, request, _Kept())).refusal
         except Exception as error:
             # One request must neither end the node nor leave its callers waiting.
             self._environment.log.warning("keyed_request_failed", reason=repr(error))
@@ -269,20 +303,21 @@
         verdict: GateVerdict,
         request: WorkerRequest,
         emit: Emit | _Kept,
-    ) -> Refusal | None:
+    ) -> _Ran:
         if not isinstance(verdict, Admitted | Dropped):
             verdict = await self._wait(call)
         if isinstance(verdict, Dropped):
-            return verdict.refusal
+            return _Ran(verdict.refusal)
         outcome: Outcome = Failed(ErrorKind.CANCELLED, "the request was given up")
-        refusal = None
+        reply = refusal = None
         try:
-            outcome = await self._forward(call, request, emit)
+            exchanged = await self._forward(call, request, emit)
+            outcome, reply = exchanged.answered, exchanged.reply
         except RequestError as error:
             outcome = Failed(error.kind, error.message)
         finally:
             refusal = self._end(call, outcome)
-        return refusal
+        return _Ran(refusal, reply)
 
     async def _wait(self, call: Call) -> GateVerdict:
         event = trio.Event()
@@ -330,7 +365,7 @@
 
     async def _forward(
         self, call: Call, request: WorkerRequest, emit: Emit | _Kept
-    ) -> Answered:
+    ) -> _Exchanged:
         left_ms = call.deadline_ms - self._environment.now_ms()
         remaining_s = left_ms / 1_000
         if call.service != self._keeper.service:
@@ -351,7 +386,7 @@
         request: WorkerRequest,
         emit: Emit | _Kept,
         scope: trio.CancelScope,
-    ) -> Answered:
+    ) -> _Exchanged:
         started_ms = self._environment.now_ms()
         worker = t.cast(Worker, self._worker)
         for listener in self._run_listeners:
@@ -366,35 +401,68 @@
         )
         async with worker.send(told) as reply:
             latency_ms = self._environment.now_ms() - started_ms
+            instance = self._instance(reply.headers)
             if isinstance(emit, _Kept):
-                await self._relay(call, reply, emit.emit, scope)
-                return Answered(latency_ms, self._instance(reply.headers), emit.answer)
-            await self._relay(call, reply, emit, scope)
+                whole = await self._relay(call, reply, emit.emit, scope)
+                if whole is not None:
+                    await self._send(whole, emit.emit)
+                return _Exchanged(Answered(latency_ms, instance, emit.answer))
+            whole = await self._relay(call, reply, emit, scope)
             failed = reply.status >= _SERVER_ERROR
-            instance = self._instance(reply.headers)
-            return Answered(latency_ms, instance, failed=failed)
+            return _Exchanged(Answered(latency_ms, instance, failed=failed), whole)
         raise AssertionError("a worker's reply is never suppressed")
 
     async def _relay(
         self, call: Call, reply: WorkerReply, emit: Emit, scope: trio.CancelScope
-    ) -> None:
+    ) -> _Reply | None:
+        """Takes in an answer and returns it; one that is too long is streamed."""
         body = bytearray()
+        buffered_bytes = 0
         started = False
-        async for data in reply.body:
-            body += data
-            while len(body) > wire.CHUNK_BYTES:
-                part = bytes(body[: wire.CHUNK_BYTES])
-                del body[: wire.CHUNK_BYTES]
-                if started:
-                    await emit(ReplyChunk(part, False))
-                else:
-                    await self._start(call, reply, part, emit, scope)
-                    started = True
-        if started:
-            await emit(ReplyChunk(bytes(body), True))
-        else:
+        try:
+            async for data in reply.body:
+                body += data
+                if not started and self._has_room(len(body)):
+                    self._buffered_bytes += len(data)
+                    buffered_bytes += len(data)
+                    continue
+                while len(body) > wire.CHUNK_BYTES:
+                    part = bytes(body[: wire.CHUNK_BYTES])
+                    del body[: wire.CHUNK_BYTES]
+                    if started:
+                        await emit(ReplyChunk(part, False))
+                    else:
+                        await self._start(call, reply, part, emit, scope)
+                        started = True
+        finally:
+            self._buffered_bytes -= buffered_bytes
+        if not started:
+            return _Reply(reply.status, reply.headers, bytes(body))
+        await emit(ReplyChunk(bytes(body), True))
+        return None
+
+    def _has_room(self, size_bytes: int) -> bool:
+        total_bytes = self._buffered_bytes + size_bytes
+        return (
+            size_bytes <= MAX_BUFFERED_BYTES and total_bytes <= MAX_BUFFERED_TOTAL_BYTES
+        )
+
+    async def _send(self, reply: _Reply, emit: Emit) -> None:
+        """Sends a whole answer to the entry, part by part."""
+        size_bytes = len(reply.body)
+        self._buffered_bytes += size_bytes
+        self._sending += 1
+        try:
+            first = reply.body[: wire.CHUNK_BYTES]
+            last = size_bytes <= wire.CHUNK_BYTES
             load = self.load()
-            await emit(ReplyStart(reply.status, reply.headers, bytes(body), True, load))
+            await emit(ReplyStart(reply.status, reply.headers, first, last, load))
+            for start in range(wire.CHUNK_BYTES, size_bytes, wire.CHUNK_BYTES):
+                end = start + wire.CHUNK_BYTES
+                await emit(ReplyChunk(reply.body[start:end], end >= size_bytes))
+        finally:
+            self._sending -= 1
+            self._buffered_bytes -= size_bytes
 
     async def _start(
         self,
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -112,6 +112,7 @@
         async def emit(event: ReplyEvent) -> None:
             if isinstance(event, ReplyChunk):
                 await link.credit(stream_id)
+            await self._pace(event)
             await link.send(_reply(stream_id, event, self.gate))
 
         try:
@@ -126,6 +127,17 @@
         )
         await self.gate.serve(call, request, emit)
 
+    async def _pace(self, event: ReplyEvent) -> None:
+        """Waits until a part of a large answer may be sent."""
+        environment = self.environment
+        match event:
+            case ReplyChunk(data):
+                delay_ms = environment.pacer.delay_ms(len(data), environment.now_ms())
+                if delay_ms > 0:
+                    await trio.sleep(delay_ms / 1_000)
+            case ReplyStart(body=body):
+                environment.pacer.delay_ms(len(body), environment.now_ms())
+
     async def on_news(self, link: Link, message: wire.Message) -> None:
         """Handles a control message."""
         match message:
--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -168,6 +168,8 @@
             have seen that it is not ready.
         gossip_period_ms: time between exchanges with a random peer.
         boot_wait_ms: longest wait for peers before the node is ready.
+        link_mbps: rate of the host's network link in megabits a second; large answers
+            to other nodes are paced below it. None does not pace them.
         seed: seed of the node's random choices; 0 takes one from the system.
         metrics_listen: a further address of the admin pages, none by default.
         ready_path: path on the admin address that tells whether the node takes work.
@@ -193,6 +195,7 @@
     linger_ms: TimeoutMs = LINGER_MS
     gossip_period_ms: TimeoutMs = 1_000
     boot_wait_ms: TimeoutMs = 2_000
+    link_mbps: t.Annotated[float, msgspec.Meta(gt=0, le=1_000_000)] | None = None
     seed: int = 0
     metrics_listen: Address | None = None
     ready_path: str = "/readyz"
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -72,8 +72,8 @@
 
 _FRAME_HEAD = struct.Struct("!II")
 FRAME_HEAD_BYTES = _FRAME_HEAD.size
-CHUNK_BYTES = 65_536
-INITIAL_CREDIT_CHUNKS = 8
+CHUNK_BYTES = 32_768
+INITIAL_CREDIT_CHUNKS = 16
 
 _protocol = TCyBinaryProtocolFactory()
 _field_of_type = {spec[2]: spec[1] for spec in Envelope.thrift_spec.values()}
