Reckon with the wait for a host's link before a download is taken

Change: a call tells the length that its answer is expected to have; the gate counts what it has promised to send and refuses at once, with the time that the link needs, what would come too late; a load report tells the wait for the link, and entries weigh it for large answers. A large answer comes from the entry's own host while it has room.

--- a/features/pacing.feature
+++ b/features/pacing.feature
@@ -20,3 +20,27 @@
     Given a link of unknown rate
     When 6 answers of 280000 bytes are sent in parts of 32768 bytes at once
     Then all of them are sent within 0 ms
+
+  Scenario: a download that the link would not carry in time is refused at once
+    Given a link of 40 megabits a second
+    When 20 answers of 280000 bytes are expected
+    And a download with an objective of 800 ms arrives
+    Then it is refused and told to come back after about the time that the link needs
+    When 15 of the answers turn out not to be sent
+    Then a download with an objective of 800 ms is taken
+
+  Scenario: a download that is late already takes what room is left
+    Given a link of 40 megabits a second
+    When a download arrives after its objective with 1000 ms left
+    Then it is taken while the link is free
+    And it is refused behind 8 answers of 280000 bytes
+
+  Scenario: large answers come from hosts whose links are free, short ones from any
+    Given two near workers, one of which waits 400 ms for its link
+    Then 20 requests with large answers go to the other one
+    And requests with short answers go to both
+
+  Scenario: a large answer comes from the entry's own host if it has room
+    Given two near workers, one of which waits 400 ms for its link
+    When the other one is the entry's own host
+    Then 20 requests with large answers go to the other one
--- a/features/steps/overload_patterns.py
+++ b/features/steps/overload_patterns.py
@@ -36,8 +36,6 @@
 from cactushook.publication import Head
 from cactushook.repeats import Fanout
 from cactushook.retries import WindowBudget
-from cactushook.routing import BULKY_SPILL_RATIO
-from cactushook.routing import SPILL_RATIO
 from cactushook.snapshot import bind
 from cactushook.snapshot import Snapshot
 from cactushook.splits import Splits
@@ -438,23 +436,23 @@
     context.router.report("far", GateLoad(0, 0, 10), START_MS)
 
 
-def chosen(context, spill_ratio):
+def chosen(context, bulky):
     choice = context.router.choose(
-        "s", EMPTY_SNAPSHOT, context.hosts, START_MS, (), spill_ratio
+        "s", EMPTY_SNAPSHOT, context.hosts, START_MS, (), bulky
     )
     return choice.host.name
 
 
 @then("a request with a small answer goes far and one with a large answer stays near")
 def by_answer(context):
-    found = (chosen(context, SPILL_RATIO), chosen(context, BULKY_SPILL_RATIO))
+    found = (chosen(context, False), chosen(context, True))
     assert found == ("far", "near"), found
 
 
 @then("behind a queue as long as its slots it goes far too")
 def long_queue(context):
     report(context, 10)
-    assert chosen(context, BULKY_SPILL_RATIO) == "far"
+    assert chosen(context, True) == "far"
 
 
 @given("a route that is split {first:d} to {second:d}")
--- a/features/steps/pacing.py
+++ b/features/steps/pacing.py
@@ -2,15 +2,25 @@
 
 import heapq
 import itertools
+import random
 
 from behave import given
 from behave import then
 from behave import when
+from cactushook import EMPTY_SNAPSHOT
+from cactushook import ErrorKind
+from cactushook import HostRecord
+from cactushook import Router
+from cactushook.calls import Load
 from cactushook.pacing import BURST_MS
 from cactushook.pacing import LINK_SHARE
 from cactushook.pacing import Pacer
+from cactushook.pacing import refuse_unsendable
+from overload_patterns import request
 
 START_MS = 1_000.0
+ANSWER_BYTES = 280_000
+RUN_MS = 130.0
 
 
 @given("a link of {mbps:d} megabits a second")
@@ -70,3 +80,89 @@
     part_ms = part_bytes / (LINK_SHARE * context.bytes_per_ms)
     ended = context.ended_ms.values()
     assert max(ended) - min(ended) <= count * part_ms + BURST_MS, sorted(ended)
+
+
+@when("{count:d} answers of {size:d} bytes are expected")
+def expected(context, count, size):
+    context.promises = [context.pacer.promise(size) for _ in range(count)]
+
+
+def offered(context, objective_ms, left_ms):
+    call = request(START_MS, objective_ms, left_ms=left_ms)
+    send_ms = context.pacer.wait_ms(ANSWER_BYTES, START_MS)
+    return send_ms, refuse_unsendable(call, send_ms, RUN_MS, START_MS)
+
+
+@when("a download with an objective of {objective_ms:d} ms arrives")
+def download_arrives(context, objective_ms):
+    context.send_ms, context.refusal = offered(context, objective_ms, 3_000.0)
+
+
+@then("it is refused and told to come back after about the time that the link needs")
+def refused_with_time(context):
+    assert context.refusal.kind is ErrorKind.OVERLOADED
+    assert context.refusal.retry_after_ms == round(context.send_ms)
+
+
+@when("{count:d} of the answers turn out not to be sent")
+def not_sent(context, count):
+    for promise in context.promises[:count]:
+        promise.close()
+
+
+@then("a download with an objective of {objective_ms:d} ms is taken")
+def taken(context, objective_ms):
+    assert offered(context, objective_ms, 3_000.0)[1] is None
+
+
+@when("a download arrives after its objective with {left_ms:d} ms left")
+def late_download(context, left_ms):
+    context.left_ms = float(left_ms)
+
+
+@then("it is taken while the link is free")
+def taken_late(context):
+    assert offered(context, -1.0, context.left_ms)[1] is None
+
+
+@then("it is refused behind {count:d} answers of {size:d} bytes")
+def refused_late(context, count, size):
+    expected(context, count, size)
+    assert offered(context, -1.0, context.left_ms)[1] is not None
+
+
+@given("two near workers, one of which waits {wait_ms:d} ms for its link")
+def near_workers(context, wait_ms):
+    context.hosts = [
+        HostRecord(name=name, address=name, domain="d", region="r", service="s")
+        for name in ("busy", "other")
+    ]
+    context.router = Router("d", "r", random.Random(1))
+    context.waits = {"busy": float(wait_ms), "other": 0.0}
+
+
+@when("the other one is the entry's own host")
+def own_host(context):
+    context.router = Router("d", "r", random.Random(1), own="other")
+
+
+def chosen(context, count, bulky):
+    for name, wait_ms in context.waits.items():
+        context.router.report(name, Load(1, 0, 9, send_ms=wait_ms), START_MS)
+    choices = [
+        context.router.choose(
+            "s", EMPTY_SNAPSHOT, context.hosts, START_MS, bulky=bulky
+        ).host.name
+        for _ in range(count)
+    ]
+    return set(choices)
+
+
+@then("{count:d} requests with large answers go to the other one")
+def large_go(context, count):
+    assert chosen(context, count, True) == {"other"}
+
+
+@then("requests with short answers go to both")
+def short_go(context):
+    assert chosen(context, 50, False) == {"busy", "other"}
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -22,8 +22,6 @@
 from cactushook.repeats import Fanout
 from cactushook.retries import Budget
 from cactushook.retries import WindowBudget
-from cactushook.routing import BULKY_SPILL_RATIO
-from cactushook.routing import SPILL_RATIO
 from cactushook.snapshot import BoundRoute
 from cactushook.splits import Splits
 
@@ -110,7 +108,9 @@
         self._links = links
         self._gate = gate
         settings = environment.settings
-        self.router = Router(settings.domain, settings.region, environment.rng)
+        self.router = Router(
+            settings.domain, settings.region, environment.rng, settings.host
+        )
         self._budgets: dict[str, Budget] = {}
         self._splits = Splits(environment.rng)
         self._fleet_hosts = MIN_FLEET_HOSTS
@@ -212,6 +212,7 @@
             objective_ms=now_ms + (route.objective_ms or route.timeout_ms),
             priority=route.priority,
             nested=request.nested,
+            answer_bytes=int(self._answer_bytes.get(route.path, 0)),
         )
 
     def _worker_request(self, request: EntryRequest, call: Call) -> WorkerRequest:
@@ -231,7 +232,7 @@
         self, call: Call, request: WorkerRequest, emit: Emit, trace: "Trace"
     ) -> None:
         environment = self._environment
-        decisions = self._decisions(call, trace.route)
+        decisions = self._decisions(call)
         step = decisions.first(self._view(call.service), environment.now_ms())
         held: ReplyStart | None = None
         while isinstance(step, SendTo):
@@ -261,12 +262,11 @@
         wait_ms = min(wait_ms, RETRY_AFTER_SHARE * left_ms)
         return max(1, round(wait_ms * environment.rng.uniform(0.7, 1.3)))
 
-    def _decisions(self, call: Call, route: str) -> Dispatch | KeyedDispatch:
+    def _decisions(self, call: Call) -> Dispatch | KeyedDispatch:
         redirects = self._environment.settings.retry.redirects
-        bulky = self._answer_bytes.get(route, 0.0) > BULKY_BYTES
-        spill_ratio = BULKY_SPILL_RATIO if bulky else SPILL_RATIO
+        bulky = call.answer_bytes > BULKY_BYTES
         budget = self._budget(call.service)
-        return dispatch(call, self.router, budget, redirects, spill_ratio)
+        return dispatch(call, self.router, budget, redirects, bulky)
 
     def _note_bytes(self, route: str, count: int) -> None:
         known = self._answer_bytes.get(route, float(count))
@@ -534,6 +534,7 @@
         nested=call.nested,
         resent=call.resent,
         insists=call.insists,
+        answer_bytes=call.answer_bytes,
     )
 
 
@@ -561,4 +562,5 @@
         nested=message.nested,
         resent=message.resent,
         insists=message.insists,
+        answer_bytes=message.answer_bytes,
     )
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -27,6 +27,7 @@
 from cactushook.gatekeeping import Replayed
 from cactushook.homes import Homes
 from cactushook.once import StoredAnswer
+from cactushook.pacing import refuse_unsendable
 
 from . import wire
 from .environment import Environment
@@ -197,7 +198,10 @@
 
     def load(self) -> Load:
         """Returns the load that is told to entries."""
-        return self._keeper.load(self._environment.now_ms())
+        environment = self._environment
+        now_ms = environment.now_ms()
+        send_ms = environment.pacer.wait_ms(0, now_ms)
+        return dataclasses.replace(self._keeper.load(now_ms), send_ms=send_ms)
 
     @property
     def is_home(self) -> bool:
@@ -209,6 +213,23 @@
         """Returns milliseconds since the epoch; never steps while the node runs."""
         return self._environment.now_ms() + self._epoch_offset_ms
 
+    async def serve_remote(
+        self, call: Call, request: WorkerRequest, emit: Emit
+    ) -> None:
+        """Serves a request of another node, whose answer the network has to carry."""
+        environment = self._environment
+        now_ms = environment.now_ms()
+        send_ms = environment.pacer.wait_ms(0, now_ms)
+        refusal = None
+        if call.answer_bytes > wire.CHUNK_BYTES:
+            run_ms = self._keeper.service_ms
+            refusal = refuse_unsendable(call, send_ms, run_ms, now_ms)
+        if refusal is not None:
+            self._log_end(call, refusal, now_ms)
+            await self._refuse(refusal, emit)
+            return
+        await self.serve(call, request, emit)
+
     async def serve(self, call: Call, request: WorkerRequest, emit: Emit) -> None:
         """Runs one request, or refuses it, and emits the answer's events."""
         environment = self._environment
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -7,6 +7,7 @@
 import trio
 from cactushook import CrashNews
 from cactushook import HostState
+from cactushook.pacing import Promise
 
 from . import adapters
 from . import wire
@@ -108,34 +109,41 @@
     async def on_call(self, link: Link, message: wire.Message) -> None:
         """Runs a request that another node's entry sent."""
         stream_id = message.stream_id
+        try:
+            call = call_of(message, self.environment.now_ms())
+        except ValueError as error:
+            self.environment.log.warning("call_failed", reason=repr(error))
+            return
+        promise = self.environment.pacer.promise(call.answer_bytes)
 
         async def emit(event: ReplyEvent) -> None:
             if isinstance(event, ReplyChunk):
                 await link.credit(stream_id)
-            await self._pace(event)
+            await self._pace(event, promise)
             await link.send(_reply(stream_id, event, self.gate))
 
-        try:
-            call = call_of(message, self.environment.now_ms())
-        except ValueError:
-            return
         request = WorkerRequest(
             message.method,
             message.target,
             tuple((header.name, header.value) for header in message.headers),
             message.body,
         )
-        await self.gate.serve(call, request, emit)
+        try:
+            await self.gate.serve_remote(call, request, emit)
+        finally:
+            promise.close()
 
-    async def _pace(self, event: ReplyEvent) -> None:
+    async def _pace(self, event: ReplyEvent, promise: Promise) -> None:
         """Waits until a part of a large answer may be sent."""
         environment = self.environment
         match event:
             case ReplyChunk(data):
+                promise.sent(len(data))
                 delay_ms = environment.pacer.delay_ms(len(data), environment.now_ms())
                 if delay_ms > 0:
                     await trio.sleep(delay_ms / 1_000)
             case ReplyStart(body=body):
+                promise.sent(len(body))
                 environment.pacer.delay_ms(len(body), environment.now_ms())
 
     async def on_news(self, link: Link, message: wire.Message) -> None:
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -173,9 +173,7 @@
         board = self._environment.board
         if board.source_reachable.value is reachable:
             return
-        if reachable:
-            self._environment.log.info("store_reachable")
-        else:
+        if not reachable:
             self._environment.log.warning("store_failed", reason=reason)
         board.source_reachable.write(reachable)
 
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -195,12 +195,19 @@
         queued=load.queued,
         capacity=load.capacity,
         accepting=load.accepting,
+        send_ms=round(load.send_ms),
     )
 
 
 def load_of(report: Message) -> Load:
     """Converts a message to a load."""
-    return Load(report.running, report.queued, report.capacity, report.accepting)
+    return Load(
+        report.running,
+        report.queued,
+        report.capacity,
+        report.accepting,
+        report.send_ms,
+    )
 
 
 def error_kind(code: str) -> ErrorKind:
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -28,6 +28,8 @@
   2: i32 queued,
   3: i32 capacity,
   4: bool accepting,
+  // How long a large answer waits for the link of the sender's host.
+  5: i32 send_ms = 0,
 }
 
 // A request on its way from an entry to a gate.
@@ -55,6 +57,8 @@
   20: bool nested = false,
   21: bool resent = false,
   22: bool insists = false,
+  // Expected length of the answer; 0 if it is not known.
+  23: i32 answer_bytes = 0,
 }
 
 // Start of a worker's answer; `last` when the body is whole.
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -116,6 +116,11 @@
         """The requests at the worker."""
         return tuple(item.call for item in self._running.values())
 
+    @property
+    def service_ms(self) -> float:
+        """Mean time that a request takes at the worker."""
+        return self._service_ms
+
     def started_ms(self, request_id: str) -> float:
         """Returns when a request that is at the worker was sent to it."""
         return self._running[request_id].since_ms
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -31,6 +31,7 @@
         nested: whether the request was made by work that runs at a worker.
         resent: whether an earlier send of the request reached a worker.
         insists: whether no other gate is asked if this one refuses.
+        answer_bytes: expected length of the answer; 0 if it is not known.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     nested: bool = False
     resent: bool = False
     insists: bool = False
+    answer_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,12 +85,14 @@
         queued: requests that wait.
         capacity: slots that may be used now; below the limit during a ramp.
         accepting: whether new work is taken.
+        send_ms: how long a large answer waits for the host's network link.
     """
 
     running: int = 0
     queued: int = 0
     capacity: int = 1
     accepting: bool = True
+    send_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/cactushook/src/cactushook/dispatch.py
+++ b/packages/cactushook/src/cactushook/dispatch.py
@@ -14,7 +14,6 @@
 from .nodes import HostState
 from .retries import Budget
 from .routing import Router
-from .routing import SPILL_RATIO
 from .snapshot import Snapshot
 
 MAX_HOME_STEPS = 12
@@ -82,7 +81,7 @@
         budget: the service's retry budget.
         redirects: gates that may be asked, without cost, after one refused and
             sent nothing to its worker.
-        spill_ratio: load of the near workers above which others are taken.
+        bulky: whether a large answer is expected.
     """
 
     def __init__(
@@ -91,13 +90,13 @@
         router: Router,
         budget: Budget,
         redirects: int = 0,
-        spill_ratio: float = SPILL_RATIO,
+        bulky: bool = False,
     ) -> None:
         self._call = call
         self._router = router
         self._budget = budget
         self._redirects_left = redirects
-        self._spill_ratio = spill_ratio
+        self._bulky = bulky
         self._sent = 0
         self._tried: list[str] = []
         self._asked: HostRecord | None = None
@@ -139,7 +138,7 @@
             view.hosts,
             now_ms,
             self._tried,
-            self._spill_ratio,
+            self._bulky,
         )
         if choice.host is None:
             detail = f"no worker of {call.service!r} takes work"
@@ -260,12 +259,12 @@
     router: Router,
     budget: Budget,
     redirects: int = 0,
-    spill_ratio: float = SPILL_RATIO,
+    bulky: bool = False,
 ) -> Dispatch | KeyedDispatch:
     """Returns the decisions for one request."""
     if call.key:
         return KeyedDispatch(call, budget)
-    return Dispatch(call, router, budget, redirects, spill_ratio)
+    return Dispatch(call, router, budget, redirects, bulky)
 
 
 __all__ = ["Dispatch", "KeyedDispatch", "Refuse", "SendTo", "Step", "View", "dispatch"]
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -262,6 +262,11 @@
         """Identity of the backend server's present start, empty if not listed."""
         return "" if self._listing is None else self._listing.instance
 
+    @property
+    def service_ms(self) -> float:
+        """Mean time that a request takes at the backend server."""
+        return 0.0 if self.admission is None else self.admission.service_ms
+
     def drain(self) -> None:
         """Refuses new work from now on; running and waiting work goes on."""
         self._draining = True
--- a/packages/cactushook/src/cactushook/pacing.py
+++ b/packages/cactushook/src/cactushook/pacing.py
@@ -1,9 +1,15 @@
 """Keeps large answers from filling the queue of a host's network link."""
 
+from .calls import Call
+from .calls import Refusal
+from .exceptions import ErrorKind
+
 # Share of the link that paced data may take; the rest is left to short messages.
 LINK_SHARE = 0.85
 # What a late wake-up may catch up on.
 BURST_MS = 5.0
+# Share of its time that a request which is late already may wait for the link.
+LATE_SHARE = 0.3
 _BITS_PER_BYTE = 8
 _BITS_PER_MS_OF_MBPS = 1_000
 
@@ -24,6 +30,7 @@
             bits_per_ms = link_mbps * _BITS_PER_MS_OF_MBPS
             self._bytes_per_ms = LINK_SHARE * bits_per_ms / _BITS_PER_BYTE
         self._free_ms = 0.0
+        self._promised_bytes = 0
 
     def delay_ms(self, size_bytes: int, now_ms: float) -> float:
         """Counts bytes that are about to be sent and returns how long they wait."""
@@ -33,5 +40,67 @@
         self._free_ms = start_ms + size_bytes / self._bytes_per_ms
         return max(0.0, start_ms - now_ms)
 
+    def promise(self, size_bytes: int) -> "Promise":
+        """Counts an answer that is expected to be sent."""
+        self._promised_bytes += size_bytes
+        return Promise(self, size_bytes)
+
+    def settle(self, size_bytes: int) -> None:
+        """Counts less of what is expected to be sent."""
+        self._promised_bytes -= size_bytes
+
+    def wait_ms(self, size_bytes: int, now_ms: float) -> float:
+        """Returns the time until an answer would be sent behind all expected ones."""
+        if not self._bytes_per_ms:
+            return 0.0
+        ahead_bytes = self._promised_bytes + size_bytes
+        return max(0.0, self._free_ms - now_ms) + ahead_bytes / self._bytes_per_ms
+
+
+class Promise:
+    """The part of an expected answer that has not been sent yet.
+
+    Args:
+        pacer: counts it.
+        size_bytes: expected length of the answer.
+    """
+
+    def __init__(self, pacer: Pacer, size_bytes: int) -> None:
+        self._pacer = pacer
+        self._left_bytes = size_bytes
+
+    def sent(self, size_bytes: int) -> None:
+        """Notes that a part is about to be sent."""
+        settled_bytes = min(size_bytes, self._left_bytes)
+        self._left_bytes -= settled_bytes
+        self._pacer.settle(settled_bytes)
+
+    def close(self) -> None:
+        """Notes that nothing more will be sent."""
+        self.sent(self._left_bytes)
+
+
+def refuse_unsendable(
+    call: Call, send_ms: float, run_ms: float, now_ms: float
+) -> Refusal | None:
+    """Refuses a request whose answer the link would not carry in time.
+
+    One that is late already may take what room is left on the link.
+
+    Args:
+        call: the request.
+        send_ms: time until the answer would be sent, without its run.
+        run_ms: time that a run takes.
+        now_ms: the time.
+    """
+    limit_ms = call.objective_ms
+    if limit_ms <= now_ms + run_ms:
+        limit_ms = now_ms + run_ms + LATE_SHARE * max(0.0, call.deadline_ms - now_ms)
+    # Some of what is ahead is sent while the request runs.
+    if now_ms + max(run_ms, send_ms) <= limit_ms:
+        return None
+    detail = f"the network link would take {send_ms:.0f} ms for the answer"
+    return Refusal(ErrorKind.OVERLOADED, detail, retry_after_ms=round(send_ms))
+
 
-__all__ = ["Pacer"]
+__all__ = ["Pacer", "Promise", "refuse_unsendable"]
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -11,6 +11,8 @@
 from .snapshot import Snapshot
 
 LOAD_TTL_MS = 2_000
+# A wait of so long for a host's link weighs as much as all of its worker's slots.
+SEND_SCALE_MS = 250.0
 SPILL_RATIO = 0.8
 # Large answers stay near also if they wait a little: they are dear between domains.
 BULKY_SPILL_RATIO = 1.6
@@ -78,9 +80,13 @@
         domain: the entry's own failure domain.
         region: the entry's own region.
         rng: source of randomness.
+        own: name of the entry's own host.
     """
 
-    def __init__(self, domain: str, region: str, rng: random.Random) -> None:
+    def __init__(
+        self, domain: str, region: str, rng: random.Random, own: str = ""
+    ) -> None:
+        self._own = own
         self._domain = domain
         self._region = region
         self._rng = rng
@@ -123,7 +129,7 @@
         hosts: t.Iterable[HostRecord],
         now_ms: float,
         tried: t.Collection[str] = (),
-        spill_ratio: float = SPILL_RATIO,
+        bulky: bool = False,
     ) -> Choice:
         """Chooses a worker: near first, by load, widening when full.
 
@@ -137,7 +143,7 @@
             hosts: the host list.
             now_ms: the time.
             tried: hosts already tried for this request.
-            spill_ratio: load of the near workers above which others are taken.
+            bulky: whether a large answer is expected.
         """
         passed: list[Passed] = []
         usable: list[HostRecord] = []
@@ -154,10 +160,10 @@
             if not barred:
                 doubtful.append(host)
         if usable and tried:
-            least = min(usable, key=lambda h: (self._ratio(h, now_ms), h.name))
+            least = min(usable, key=lambda h: (self._ratio(h, now_ms, bulky), h.name))
             return Choice(least, tuple(passed))
         if usable:
-            return Choice(self._pick(usable, now_ms, spill_ratio), tuple(passed))
+            return Choice(self._pick(usable, now_ms, bulky), tuple(passed))
         return Choice(self._least_bad(doubtful, now_ms), tuple(passed))
 
     def _doubt(self, host: HostRecord, now_ms: float) -> str:
@@ -186,27 +192,36 @@
 
         return min(doubtful, key=rank, default=None)
 
-    def _pick(
-        self, usable: list[HostRecord], now_ms: float, spill_ratio: float
-    ) -> HostRecord:
+    def _pick(self, usable: list[HostRecord], now_ms: float, bulky: bool) -> HostRecord:
+        spill_ratio = BULKY_SPILL_RATIO if bulky else SPILL_RATIO
+        own = next((host for host in usable if host.name == self._own), None)
+        if bulky and own is not None and self._ratio(own, now_ms) <= SPILL_RATIO:
+            return own
         near = [host for host in usable if host.domain == self._domain]
         region = [host for host in usable if host.region == self._region]
         for candidates in (near, region, usable):
-            roomy = [h for h in candidates if self._ratio(h, now_ms) <= spill_ratio]
+            roomy = [
+                h for h in candidates if self._ratio(h, now_ms, bulky) <= spill_ratio
+            ]
             if roomy:
-                return self._better_of_two(roomy, now_ms)
-        return self._better_of_two(usable, now_ms)
+                return self._better_of_two(roomy, now_ms, bulky)
+        return self._better_of_two(usable, now_ms, bulky)
 
-    def _better_of_two(self, candidates: list[HostRecord], now_ms: float) -> HostRecord:
+    def _better_of_two(
+        self, candidates: list[HostRecord], now_ms: float, bulky: bool
+    ) -> HostRecord:
         if len(candidates) == 1:
             return candidates[0]
         first, second = self._rng.sample(candidates, 2)
-        if self._ratio(second, now_ms) < self._ratio(first, now_ms):
+        if self._ratio(second, now_ms, bulky) < self._ratio(first, now_ms, bulky):
             return second
         return first
 
-    def _ratio(self, host: HostRecord, now_ms: float) -> float:
-        """Returns the share of usable slots taken if one more request is sent."""
+    def _ratio(self, host: HostRecord, now_ms: float, bulky: bool = False) -> float:
+        """Returns the share of usable slots taken if one more request is sent.
+
+        For a large answer the wait for the host's link counts too.
+        """
         known = self._known.get(host.name)
         if known is None:
             return 1 / UNKNOWN_CAPACITY
@@ -214,7 +229,8 @@
             return (known.in_flight + 1) / UNKNOWN_CAPACITY
         load = known.load
         told = load.running + load.queued + known.sent_since
-        return (max(known.in_flight, told) + 1) / max(1, load.capacity)
+        ratio = (max(known.in_flight, told) + 1) / max(1, load.capacity)
+        return ratio + load.send_ms / SEND_SCALE_MS if bulky else ratio
 
     def _is_fresh(self, known: _Known, now_ms: float) -> bool:
         return now_ms - known.told_ms <= LOAD_TTL_MS
