Give each feature file a range of ports of its own; print what errors say

Cause: features that start real processes pick ports that were free a moment ago. Change: the runner gives each file 500 ports below those that the system hands out to connections, and prints the error of each step that failed.

--- a/features/run.py
+++ b/features/run.py
@@ -7,6 +7,7 @@
 
 import concurrent.futures
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -19,6 +20,9 @@
 from behave.model import Status
 from behave.runner import Runner
 
+from standins.fleet import PORTS_PER_PROGRAM
+from standins.fleet import PORTS_VARIABLE
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM = ROOT / "platform"
 SUITES = (ROOT / "features", PLATFORM / "features")
@@ -26,6 +30,8 @@
 # Some features run a dozen processes themselves.
 MAX_WORKERS = 4
 LIMIT_S = 900
+# Below the ports that the system gives to connections.
+FIRST_PORT = 10_000
 # Runs a single file and tells the results on the last line.
 WORKER_FLAG = "--worker"
 # These take longest; the others fill up the time beside them.
@@ -61,6 +67,9 @@
     config = Configuration(command_args=["--no-capture", "--format=progress", path])
     runner = Runner(config)
     aborted = runner.run() and runner.aborted
+    for feature in runner.features:
+        for scenario in feature.walk_scenarios():
+            _print_errors(scenario)
     results = [
         [scenario.name, str(scenario.location), _status(scenario.status)]
         for feature in runner.features
@@ -70,19 +79,26 @@
     return 0
 
 
+def _print_errors(scenario: t.Any) -> None:
+    for step in scenario.all_steps:
+        if step.error_message:
+            print(f"{step.location} {step.name}\n{step.error_message}")
+
+
 def _status(status: Status) -> str:
     if status == Status.passed:
         return "passed"
     return "failed" if status.is_failure() or status.is_error() else "untested"
 
 
-def _run_child(path: pathlib.Path) -> tuple[bool, list[Result]]:
+def _run_child(path: pathlib.Path, first_port: int) -> tuple[bool, list[Result]]:
     """Runs a feature file in a process and prints what it wrote."""
     started_s = time.monotonic()
     command = [sys.executable, "-m", "features.run", WORKER_FLAG, str(path)]
     child = subprocess.run(
         command,
         cwd=ROOT,
+        env={**os.environ, PORTS_VARIABLE: str(first_port)},
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
         timeout=LIMIT_S,
@@ -114,7 +130,8 @@
 def _run_all(files: list[pathlib.Path]) -> t.Iterator[tuple[bool, list[Result]]]:
     workers = max(1, min(MAX_WORKERS, os.cpu_count() or 1))
     with concurrent.futures.ThreadPoolExecutor(workers) as pool:
-        yield from pool.map(_run_child, files)
+        ports = itertools.count(FIRST_PORT, PORTS_PER_PROGRAM)
+        yield from pool.map(_run_child, files, ports)
 
 
 def main(arguments: list[str]) -> int:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -16,6 +17,10 @@
 
 BIN = pathlib.Path(sys.executable).parent
 START_LIMIT_S = 20.0
+# Names the first port of a range of this program's own.
+PORTS_VARIABLE = "CACTUSHOOK_TEST_PORTS"
+PORTS_PER_PROGRAM = 500
+_port_numbers = itertools.count()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,16 +48,37 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns local addresses that were free a moment ago."""
+    """Returns local addresses that were free a moment ago.
+
+    Where ``PORTS_VARIABLE`` names the first of a range of ports, they are taken from
+    it, so that programs that run side by side do not choose the same ones.
+    """
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
-        item.bind(("127.0.0.1", 0))
+        _bind(item)
     addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
     for item in sockets:
         item.close()
     return addresses
 
 
+def _bind(item: socket.socket) -> None:
+    """Binds a socket to a free port."""
+    if PORTS_VARIABLE not in os.environ:
+        item.bind(("127.0.0.1", 0))
+        return
+    first_port = int(os.environ[PORTS_VARIABLE])
+    for _ in range(PORTS_PER_PROGRAM):
+        port = first_port + next(_port_numbers) % PORTS_PER_PROGRAM
+        try:
+            item.bind(("127.0.0.1", port))
+        except OSError:
+            # In use; the next one may be free.
+            continue
+        return
+    raise OSError(f"no port is free from {first_port} on")
+
+
 def new_key() -> str:
     """Returns a fresh key for an at-most-once request: a UUID of version 7."""
     random_bits = uuid.uuid4().int & ((1 << 74) - 1)
