Split the entry and the gate into modules with one job each

Change: trace, relay and call_messages leave the entry; answers and worker_check leave the gate. Nothing behaves differently.

--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/call_messages.py
@@ -0,0 +1,68 @@
+"""Converts calls to the messages between nodes and back."""
+
+from cactushook import Call
+from cactushook import RouteClass
+
+from . import wire
+from .streams import WorkerRequest
+
+MAX_WIRE_MS = 2**31 - 1
+
+
+def call_message(
+    stream_id: int, call: Call, request: WorkerRequest, now_ms: float
+) -> wire.Message:
+    """Converts a call to its message; the deadline travels as time left."""
+    return wire.CallMessage(
+        stream_id=stream_id,
+        request_id=call.request_id,
+        service_name=call.service,
+        route_class=call.route_class.value,
+        method=request.method,
+        target=request.target,
+        headers=[wire.Header(name, value) for name, value in request.headers],
+        body=request.body,
+        timeout_ms=max(0, int(call.deadline_ms - now_ms)),
+        version=call.version,
+        attempts_left=call.attempts_left,
+        hops=call.hops,
+        key=call.key,
+        key_issued_ms=int(call.key_issued_ms),
+        resend_window_ms=int(call.resend_window_ms),
+        fingerprint=call.fingerprint,
+        fences=list(call.fences),
+        objective_ms=min(MAX_WIRE_MS, int(call.objective_ms - now_ms)),
+        priority=call.priority,
+        nested=call.nested,
+        resent=call.resent,
+        insists=call.insists,
+        answer_bytes=call.answer_bytes,
+    )
+
+
+def call_of(message: wire.Message, now_ms: float) -> Call:
+    """Converts a message to a call on this node's clock.
+
+    Raises:
+        ValueError: the route class is not known.
+    """
+    return Call(
+        request_id=message.request_id,
+        service=message.service_name,
+        route_class=RouteClass(message.route_class),
+        deadline_ms=now_ms + message.timeout_ms,
+        version=message.version,
+        attempts_left=message.attempts_left,
+        hops=message.hops,
+        key=message.key,
+        key_issued_ms=message.key_issued_ms,
+        resend_window_ms=message.resend_window_ms,
+        fingerprint=message.fingerprint,
+        fences=tuple(message.fences),
+        objective_ms=now_ms + message.objective_ms,
+        priority=message.priority,
+        nested=message.nested,
+        resent=message.resent,
+        insists=message.insists,
+        answer_bytes=message.answer_bytes,
+    )
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -1,7 +1,6 @@
 """The entry: routes a caller's request to a gate and sends it again if it may."""
 
 import dataclasses
-import math
 import uuid
 
 import trio
@@ -25,27 +24,24 @@
 from cactushook.snapshot import BoundRoute
 from cactushook.splits import Splits
 
-from . import wire
+from .call_messages import call_message
 from .environment import Environment
 from .gate import Gate
 from .headers import find
 from .link_pool import LinkPool
 from .logs import ANSWERED
-from .logs import EventLog
-from .logs import MAX_ID_CHARACTERS
+from .relay import Relay
 from .streams import Emit
 from .streams import end_to_end
 from .streams import Headers
-from .streams import ReplyChunk
-from .streams import ReplyEvent
 from .streams import ReplyRefused
 from .streams import ReplyStart
 from .streams import WorkerRequest
+from .trace import Trace
 
 MIN_RETRY_AFTER_MS = 100
 # Callers wait for no more than a third of the time that they have left.
 RETRY_AFTER_SHARE = 0.25
-MAX_WIRE_MS = 2**31 - 1
 # Least number of hosts among which the fleet's retries are shared.
 MIN_FLEET_HOSTS = 4
 # Share of the fleet's bound that is used, since views of its size differ.
@@ -55,7 +51,6 @@
 # Mean length of an answer above which a route's requests stay near.
 BULKY_BYTES = 32_768
 BYTES_SHARE = 0.1
-_SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -229,14 +224,14 @@
         )
 
     async def _attempts(
-        self, call: Call, request: WorkerRequest, emit: Emit, trace: "Trace"
+        self, call: Call, request: WorkerRequest, emit: Emit, trace: Trace
     ) -> None:
         environment = self._environment
         decisions = self._decisions(call)
         step = decisions.first(self._view(call.service), environment.now_ms())
         held: ReplyStart | None = None
         while isinstance(step, SendTo):
-            relay = _Relay(self.router, step, environment, emit)
+            relay = Relay(self.router, step, environment, emit)
             refusal = await self._attempt(step, request, relay)
             trace.attempt(step.host.name, refusal)
             if refusal is None:
@@ -254,7 +249,7 @@
             return
         raise RefusedError(step.refusal)
 
-    def _retry_after_ms(self, refusal: Refusal, trace: "Trace") -> int:
+    def _retry_after_ms(self, refusal: Refusal, trace: Trace) -> int:
         """Spreads returns about the time when room is expected."""
         environment = self._environment
         wait_ms = max(MIN_RETRY_AFTER_MS, refusal.retry_after_ms)
@@ -313,7 +308,7 @@
         return budget
 
     async def _attempt(
-        self, step: SendTo, request: WorkerRequest, relay: "_Relay"
+        self, step: SendTo, request: WorkerRequest, relay: Relay
     ) -> Refusal | None:
         if step.after_ms:
             await trio.sleep(step.after_ms / 1_000)
@@ -333,9 +328,7 @@
         finally:
             self.router.ended(step.host.name)
 
-    async def _remote(
-        self, step: SendTo, request: WorkerRequest, relay: "_Relay"
-    ) -> None:
+    async def _remote(self, step: SendTo, request: WorkerRequest, relay: Relay) -> None:
         """Sends a call to another host's gate and passes its answer on."""
         link = await self._links.get(step.host.address)
         exchange = link.open()
@@ -367,119 +360,6 @@
         self.refusal = refusal
 
 
-class Trace:
-    """What one log line tells of a request.
-
-    Args:
-        request_id: identity of the request.
-        started_ms: when it arrived, on the node's clock.
-    """
-
-    def __init__(self, request_id: str, started_ms: float) -> None:
-        self.outcome = ErrorKind.CANCELLED.value
-        self._request_id = request_id
-        self._started_ms = started_ms
-        self.route = ""
-        self._service = ""
-        self._version = 0
-        self._deadline_ms = 0.0
-        self._attempts: list[str] = []
-
-    def routed(self, bound: BoundRoute, call: Call) -> None:
-        """Notes where the request goes and by which version."""
-        self.route = bound.route.path
-        self._service = call.service
-        self._version = call.version
-        self._deadline_ms = call.deadline_ms
-
-    def attempt(self, host: str, refusal: Refusal | None) -> None:
-        """Notes one send and how it ended."""
-        kind = ANSWERED if refusal is None else refusal.kind.value
-        self._attempts.append(f"{host}:{kind}")
-
-    def left_ms(self, now_ms: float) -> float:
-        """Returns the time until the request's deadline."""
-        return max(0.0, self._deadline_ms - now_ms)
-
-    def log(self, log: EventLog, now_ms: float) -> None:
-        """Writes the line."""
-        log.request(
-            "request_ended",
-            self.outcome == ANSWERED,
-            request_id=self._request_id[:MAX_ID_CHARACTERS],
-            route=self.route,
-            service=self._service,
-            routed_version=self._version,
-            attempts=self._attempts,
-            outcome=self.outcome,
-            took_ms=round(now_ms - self._started_ms, 1),
-            timeout_ms=round(max(0.0, self._deadline_ms - self._started_ms)),
-        )
-
-
-class _Relay:
-    """Passes one attempt's answer on to the caller.
-
-    A refusal before the answer's start is kept for the retry's decision; after it,
-    the caller's answer is cut. An answer in which the worker reports a failure is
-    held back while another worker may still be asked.
-
-    Args:
-        router: learns the gate's load.
-        step: the attempt.
-        environment: the node's central object.
-        emit: takes the answer's events.
-    """
-
-    def __init__(
-        self, router: Router, step: SendTo, environment: Environment, emit: Emit
-    ) -> None:
-        self.refusal: Refusal | None = None
-        self.held: ReplyStart | None = None
-        self.sent_bytes = 0
-        self.patience: trio.CancelScope | None = None
-        self._router = router
-        self._host = step.host.name
-        self._call = step.call
-        self._environment = environment
-        self._emit = emit
-        self._started = False
-
-    async def emit(self, event: ReplyEvent) -> None:
-        """Takes one event of the answer."""
-        load = None if isinstance(event, ReplyChunk) else event.load
-        if load is not None:
-            self._router.report(self._host, load, self._environment.now_ms())
-        if isinstance(event, ReplyRefused) and not self._started:
-            self.refusal = Refusal(
-                event.kind,
-                event.detail,
-                event.home,
-                event.fenced,
-                event.retry_after_ms,
-            )
-            return
-        if isinstance(event, ReplyStart) and self._may_hold(event):
-            self.held = event
-            detail = f"the worker answered {event.status}"
-            self.refusal = Refusal(ErrorKind.WORKER_FAILED, detail)
-            return
-        self._started = True
-        match event:
-            case ReplyStart():
-                self.sent_bytes += len(event.body)
-            case ReplyChunk(data):
-                self.sent_bytes += len(data)
-        self.patience.deadline = math.inf
-        await self._emit(event)
-
-    def _may_hold(self, event: ReplyStart) -> bool:
-        if event.status < _SERVER_ERROR or not event.last:
-            return False
-        idempotent = self._call.route_class is RouteClass.IDEMPOTENT
-        return idempotent and self._environment.settings.retry.ratio > 0
-
-
 def _number(request: EntryRequest, name: bytes, default: int) -> int:
     raw = request.header(name)
     if not raw:
@@ -505,62 +385,3 @@
             ErrorKind.REQUEST_INVALID, f"header {header!r} is not a UUID of version 7"
         )
     return parsed.int >> 80
-
-
-def call_message(
-    stream_id: int, call: Call, request: WorkerRequest, now_ms: float
-) -> wire.Message:
-    """Converts a call to its message; the deadline travels as time left."""
-    return wire.CallMessage(
-        stream_id=stream_id,
-        request_id=call.request_id,
-        service_name=call.service,
-        route_class=call.route_class.value,
-        method=request.method,
-        target=request.target,
-        headers=[wire.Header(name, value) for name, value in request.headers],
-        body=request.body,
-        timeout_ms=max(0, int(call.deadline_ms - now_ms)),
-        version=call.version,
-        attempts_left=call.attempts_left,
-        hops=call.hops,
-        key=call.key,
-        key_issued_ms=int(call.key_issued_ms),
-        resend_window_ms=int(call.resend_window_ms),
-        fingerprint=call.fingerprint,
-        fences=list(call.fences),
-        objective_ms=min(MAX_WIRE_MS, int(call.objective_ms - now_ms)),
-        priority=call.priority,
-        nested=call.nested,
-        resent=call.resent,
-        insists=call.insists,
-        answer_bytes=call.answer_bytes,
-    )
-
-
-def call_of(message: wire.Message, now_ms: float) -> Call:
-    """Converts a message to a call on this node's clock.
-
-    Raises:
-        ValueError: the route class is not known.
-    """
-    return Call(
-        request_id=message.request_id,
-        service=message.service_name,
-        route_class=RouteClass(message.route_class),
-        deadline_ms=now_ms + message.timeout_ms,
-        version=message.version,
-        attempts_left=message.attempts_left,
-        hops=message.hops,
-        key=message.key,
-        key_issued_ms=message.key_issued_ms,
-        resend_window_ms=message.resend_window_ms,
-        fingerprint=message.fingerprint,
-        fences=tuple(message.fences),
-        objective_ms=now_ms + message.objective_ms,
-        priority=message.priority,
-        nested=message.nested,
-        resent=message.resent,
-        insists=message.insists,
-        answer_bytes=message.answer_bytes,
-    )
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import typing as t
-import uuid
 
 import trio
 from cactushook import Admitted
@@ -26,35 +25,27 @@
 from cactushook.gatekeeping import Outcome
 from cactushook.gatekeeping import Replayed
 from cactushook.homes import Homes
-from cactushook.once import StoredAnswer
 from cactushook.pacing import refuse_unsendable
 
 from . import wire
+from .answers import AnswerBuffer
+from .answers import KeptAnswer
+from .answers import Reply
 from .environment import Environment
 from .headers import find
 from .logs import ANSWERED
 from .logs import MAX_ID_CHARACTERS
 from .streams import Emit
 from .streams import Headers
-from .streams import ReplyChunk
-from .streams import ReplyEvent
 from .streams import ReplyRefused
 from .streams import ReplyStart
 from .streams import WorkerRequest
 from .worker import Worker
-from .worker import WorkerReply
+from .worker_check import WorkerCheck
 
-MAX_STORED_ANSWER_BYTES = 1_048_576
 TICK_MS = 25
 # Half of the way back that an answer takes, kept from the worker's time.
 ANSWER_MARGIN_MS = 3
-CHECK_PERIOD_S = 0.25
-HEALTH_TIMEOUT_S = 1.0
-# An answer up to this length is taken from the backend server at once, so that its
-# slot does not wait for the network; longer ones are streamed.
-MAX_BUFFERED_BYTES = 2_097_152
-# The same for all answers together.
-MAX_BUFFERED_TOTAL_BYTES = 25_165_824
 _SERVER_ERROR = 500
 
 
@@ -68,21 +59,12 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    """A whole answer that has still to be sent to the entry."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Exchanged:
     """An exchange with the backend server; ``reply`` is None if it was streamed."""
 
     answered: Answered
-    reply: _Reply | None = None
+    reply: Reply | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,7 +72,7 @@
     """How a request ended at this gate."""
 
     refusal: Refusal | None = None
-    reply: _Reply | None = None
+    reply: Reply | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,38 +83,6 @@
     refusal: Refusal | None = None
 
 
-class _Kept:
-    """Collects the answer to a keyed request, unless it grows too large."""
-
-    def __init__(self) -> None:
-        self._start: ReplyStart | None = None
-        self._body = bytearray()
-        self._too_large = False
-
-    async def emit(self, event: ReplyEvent) -> None:
-        """Takes in a part of the answer."""
-        match event:
-            case ReplyStart():
-                self._start = event
-                self._add(event.body)
-            case ReplyChunk(data):
-                self._add(data)
-
-    @property
-    def answer(self) -> StoredAnswer | None:
-        """The whole answer, or None if it is too large to be kept."""
-        if self._start is None or self._too_large:
-            return None
-        return StoredAnswer(self._start.status, self._start.headers, bytes(self._body))
-
-    def _add(self, data: bytes) -> None:
-        if len(self._body) + len(data) > MAX_STORED_ANSWER_BYTES:
-            self._too_large = True
-            self._body.clear()
-        if not self._too_large:
-            self._body += data
-
-
 class Gate:
     """Keeps the backend server within its limits.
 
@@ -146,15 +96,14 @@
         self._nursery = nursery
         listed = environment.settings.adapter is not None
         self._keeper = Gatekeeper(environment.membership.own, needs_listing=listed)
-        self._checking = False
         self._verdicts: dict[str, GateVerdict] = {}
         self._waiting: dict[str, trio.Event] = {}
         self._keyed: dict[str, _KeyedRun] = {}
         self._crash_listeners: list[t.Callable[[CrashNews], None]] = []
         self._run_listeners: list[t.Callable[[Call], None]] = []
         self._worker: Worker | None = None
-        self._buffered_bytes = 0
-        self._sending = 0
+        self._answers = AnswerBuffer(self.load)
+        self._check = WorkerCheck(environment, nursery, self._keeper, self._tell_crash)
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
         environment.board.snapshot.watch(self._on_snapshot)
         environment.board.listing.watch(self._on_listing)
@@ -170,7 +119,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing runs, nothing waits and no answer is being sent."""
-        return self._keeper.idle and not self._sending
+        return self._keeper.idle and self._answers.idle
 
     def on_crash(self, listener: t.Callable[[CrashNews], None]) -> None:
         """Calls back when a request may have taken its backend server down."""
@@ -246,7 +195,7 @@
         if ran.refusal is not None:
             await self._refuse(ran.refusal, emit)
         elif ran.reply is not None:
-            await self._send(ran.reply, emit)
+            await self._answers.send(ran.reply, emit)
 
     def _log_end(self, call: Call, refusal: Refusal | None, offered_ms: float) -> None:
         """Logs what became of a request, and the load that decided it."""
@@ -309,7 +258,9 @@
         self, call: Call, verdict: GateVerdict, request: WorkerRequest, run: _KeyedRun
     ) -> None:
         try:
-            run.refusal = (await self._run(call, verdict, request, _Kept())).refusal
+            run.refusal = (
+                await self._run(call, verdict, request, KeptAnswer())
+            ).refusal
         except Exception as error:
             # One request must neither end the node nor leave its callers waiting.
             self._environment.log.warning("keyed_request_failed", reason=repr(error))
@@ -323,7 +274,7 @@
         call: Call,
         verdict: GateVerdict,
         request: WorkerRequest,
-        emit: Emit | _Kept,
+        emit: Emit | KeptAnswer,
     ) -> _Ran:
         if not isinstance(verdict, Admitted | Dropped):
             verdict = await self._wait(call)
@@ -361,12 +312,15 @@
         self._log_breaker(was_open, call)
         self._settle(ended.verdicts)
         if isinstance(outcome, Failed) and outcome.kind in _DOUBTFUL:
-            self._check_soon()
+            self._check.start(self._worker)
         for news in ended.crashes:
-            for listener in self._crash_listeners:
-                listener(news)
+            self._tell_crash(news)
         return ended.refusal
 
+    def _tell_crash(self, news: CrashNews) -> None:
+        for listener in self._crash_listeners:
+            listener(news)
+
     def _log_breaker(self, was_open: bool, call: Call) -> None:
         is_open = self._keeper.breaker.is_open
         if is_open is was_open:
@@ -385,7 +339,7 @@
             self._waiting[request_id].set()
 
     async def _forward(
-        self, call: Call, request: WorkerRequest, emit: Emit | _Kept
+        self, call: Call, request: WorkerRequest, emit: Emit | KeptAnswer
     ) -> _Exchanged:
         left_ms = call.deadline_ms - self._environment.now_ms()
         remaining_s = left_ms / 1_000
@@ -405,7 +359,7 @@
         self,
         call: Call,
         request: WorkerRequest,
-        emit: Emit | _Kept,
+        emit: Emit | KeptAnswer,
         scope: trio.CancelScope,
     ) -> _Exchanged:
         started_ms = self._environment.now_ms()
@@ -423,141 +377,19 @@
         async with worker.send(told) as reply:
             latency_ms = self._environment.now_ms() - started_ms
             instance = self._instance(reply.headers)
-            if isinstance(emit, _Kept):
-                whole = await self._relay(call, reply, emit.emit, scope)
+            if isinstance(emit, KeptAnswer):
+                whole = await self._answers.take(call, reply, emit.emit, scope)
                 if whole is not None:
-                    await self._send(whole, emit.emit)
+                    await self._answers.send(whole, emit.emit)
                 return _Exchanged(Answered(latency_ms, instance, emit.answer))
-            whole = await self._relay(call, reply, emit, scope)
+            whole = await self._answers.take(call, reply, emit, scope)
             failed = reply.status >= _SERVER_ERROR
             return _Exchanged(Answered(latency_ms, instance, failed=failed), whole)
         raise AssertionError("a worker's reply is never suppressed")
 
-    async def _relay(
-        self, call: Call, reply: WorkerReply, emit: Emit, scope: trio.CancelScope
-    ) -> _Reply | None:
-        """Takes in an answer and returns it; one that is too long is streamed."""
-        body = bytearray()
-        buffered_bytes = 0
-        started = False
-        try:
-            async for data in reply.body:
-                body += data
-                if not started and self._has_room(len(body)):
-                    self._buffered_bytes += len(data)
-                    buffered_bytes += len(data)
-                    continue
-                while len(body) > wire.CHUNK_BYTES:
-                    part = bytes(body[: wire.CHUNK_BYTES])
-                    del body[: wire.CHUNK_BYTES]
-                    if started:
-                        await emit(ReplyChunk(part, False))
-                    else:
-                        await self._start(call, reply, part, emit, scope)
-                        started = True
-        finally:
-            self._buffered_bytes -= buffered_bytes
-        if not started:
-            return _Reply(reply.status, reply.headers, bytes(body))
-        await emit(ReplyChunk(bytes(body), True))
-        return None
-
-    def _has_room(self, size_bytes: int) -> bool:
-        total_bytes = self._buffered_bytes + size_bytes
-        return (
-            size_bytes <= MAX_BUFFERED_BYTES and total_bytes <= MAX_BUFFERED_TOTAL_BYTES
-        )
-
-    async def _send(self, reply: _Reply, emit: Emit) -> None:
-        """Sends a whole answer to the entry, part by part."""
-        size_bytes = len(reply.body)
-        self._buffered_bytes += size_bytes
-        self._sending += 1
-        try:
-            first = reply.body[: wire.CHUNK_BYTES]
-            last = size_bytes <= wire.CHUNK_BYTES
-            load = self.load()
-            await emit(ReplyStart(reply.status, reply.headers, first, last, load))
-            for start in range(wire.CHUNK_BYTES, size_bytes, wire.CHUNK_BYTES):
-                end = start + wire.CHUNK_BYTES
-                await emit(ReplyChunk(reply.body[start:end], end >= size_bytes))
-        finally:
-            self._sending -= 1
-            self._buffered_bytes -= size_bytes
-
-    async def _start(
-        self,
-        call: Call,
-        reply: WorkerReply,
-        part: bytes,
-        emit: Emit,
-        scope: trio.CancelScope,
-    ) -> None:
-        if call.route_class is RouteClass.BULK:
-            scope.deadline = float("inf")
-        await emit(ReplyStart(reply.status, reply.headers, part, False, self.load()))
-
     def _instance(self, headers: Headers) -> bytes:
         return find(headers, self._environment.headers.instance)
 
-    def _check_soon(self) -> None:
-        """Finds out whether the backend server crashed, unless that is under way."""
-        listed = self._environment.settings.adapter is not None
-        if listed and self._worker is not None and not self._checking:
-            self._checking = True
-            self._nursery.start_soon(self._check_worker)
-
-    async def _check_worker(self) -> None:
-        try:
-            worker = t.cast(Worker, self._worker)
-            if not await worker.probe():
-                self._on_down(worker)
-                while not await worker.probe():
-                    await trio.sleep(CHECK_PERIOD_S)
-                now_ms = self._environment.now_ms()
-                self._keeper.came_back(now_ms)
-                self._environment.log.info("worker_reachable")
-            await self._read_health(worker)
-            while self._keeper.is_cold(self._environment.now_ms()):
-                await trio.sleep(2 * CHECK_PERIOD_S)
-                await self._read_health(worker)
-        finally:
-            self._checking = False
-
-    def _on_down(self, worker: Worker) -> None:
-        environment = self._environment
-        worker.drop_idle()
-        environment.log.warning("worker_unreachable")
-        for news in self._keeper.went_down(environment.now_ms()):
-            for listener in self._crash_listeners:
-                listener(news)
-
-    async def _read_health(self, worker: Worker) -> None:
-        """Asks the backend server how long it stays cold."""
-        environment = self._environment
-        names = environment.headers
-        service = environment.store.snapshot.services.get(self._keeper.service)
-        if service is None or not names.cold_remaining_ms:
-            return
-        request_id = uuid.uuid4().hex.encode()
-        headers = ((b"host", environment.settings.worker.address.encode()),)
-        request = WorkerRequest("GET", service.health_path.encode(), headers, b"")
-        request = request.with_headers(((names.request_id, request_id),))
-        with trio.move_on_after(HEALTH_TIMEOUT_S):
-            try:
-                async with worker.send(request, needs_id=False) as reply:
-                    async for _ in reply.body:
-                        pass
-                    told = find(reply.headers, names.cold_remaining_ms)
-            except RequestError as error:
-                environment.log.info("health_failed", reason=str(error))
-                return
-            left_ms = int(told) if told.isdigit() else 0
-            environment.log.info(
-                "health_read", status=reply.status, cold_remaining_ms=left_ms
-            )
-            self._keeper.told_cold(left_ms, environment.now_ms())
-
     def _on_listing(self, listing: Listing | None) -> None:
         before = self._keeper.instance
         self._settle(self._keeper.listed(listing, self._environment.now_ms()))
@@ -565,7 +397,7 @@
             if self._worker is not None:
                 self._worker.drop_idle()
             self._set_up_worker()
-            self._check_soon()
+            self._check.start(self._worker)
 
     def _set_up_worker(self) -> None:
         environment = self._environment
@@ -583,7 +415,7 @@
         self._set_up_worker()
         if was_out and not self._keeper.domain_out:
             self._keeper.may_be_cold(self._environment.now_ms())
-            self._check_soon()
+            self._check.start(self._worker)
 
     def _on_host_list(self, read: bool) -> None:
         if read:
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -12,9 +12,9 @@
 from . import adapters
 from . import wire
 from .admin import Admin
+from .call_messages import call_of
 from .distribution import Distribution
 from .edge import Edge
-from .entry import call_of
 from .entry import Entry
 from .environment import Environment
 from .environment import Readiness
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/relay.py
@@ -0,0 +1,82 @@
+"""Passes the answer of one attempt on to the caller."""
+
+import math
+
+import trio
+from cactushook import ErrorKind
+from cactushook import Refusal
+from cactushook import RouteClass
+from cactushook import Router
+from cactushook.dispatch import SendTo
+
+from .environment import Environment
+from .streams import Emit
+from .streams import ReplyChunk
+from .streams import ReplyEvent
+from .streams import ReplyRefused
+from .streams import ReplyStart
+
+_SERVER_ERROR = 500
+
+
+class Relay:
+    """Passes one attempt's answer on to the caller.
+
+    A refusal before the answer's start is kept for the retry's decision; after it,
+    the caller's answer is cut. An answer in which the worker reports a failure is
+    held back while another worker may still be asked.
+
+    Args:
+        router: learns the gate's load.
+        step: the attempt.
+        environment: the node's central object.
+        emit: takes the answer's events.
+    """
+
+    def __init__(
+        self, router: Router, step: SendTo, environment: Environment, emit: Emit
+    ) -> None:
+        self.refusal: Refusal | None = None
+        self.held: ReplyStart | None = None
+        self.sent_bytes = 0
+        self.patience: trio.CancelScope | None = None
+        self._router = router
+        self._host = step.host.name
+        self._call = step.call
+        self._environment = environment
+        self._emit = emit
+        self._started = False
+
+    async def emit(self, event: ReplyEvent) -> None:
+        """Takes one event of the answer."""
+        load = None if isinstance(event, ReplyChunk) else event.load
+        if load is not None:
+            self._router.report(self._host, load, self._environment.now_ms())
+        if isinstance(event, ReplyRefused) and not self._started:
+            self.refusal = Refusal(
+                event.kind,
+                event.detail,
+                event.home,
+                event.fenced,
+                event.retry_after_ms,
+            )
+            return
+        if isinstance(event, ReplyStart) and self._may_hold(event):
+            self.held = event
+            detail = f"the worker answered {event.status}"
+            self.refusal = Refusal(ErrorKind.WORKER_FAILED, detail)
+            return
+        self._started = True
+        match event:
+            case ReplyStart():
+                self.sent_bytes += len(event.body)
+            case ReplyChunk(data):
+                self.sent_bytes += len(data)
+        self.patience.deadline = math.inf
+        await self._emit(event)
+
+    def _may_hold(self, event: ReplyStart) -> bool:
+        if event.status < _SERVER_ERROR or not event.last:
+            return False
+        idempotent = self._call.route_class is RouteClass.IDEMPOTENT
+        return idempotent and self._environment.settings.retry.ratio > 0
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/trace.py
@@ -0,0 +1,60 @@
+"""What one log line of the entry tells of a request."""
+
+from cactushook import Call
+from cactushook import ErrorKind
+from cactushook import Refusal
+from cactushook.snapshot import BoundRoute
+
+from .logs import ANSWERED
+from .logs import EventLog
+from .logs import MAX_ID_CHARACTERS
+
+
+class Trace:
+    """What one log line tells of a request.
+
+    Args:
+        request_id: identity of the request.
+        started_ms: when it arrived, on the node's clock.
+    """
+
+    def __init__(self, request_id: str, started_ms: float) -> None:
+        self.outcome = ErrorKind.CANCELLED.value
+        self._request_id = request_id
+        self._started_ms = started_ms
+        self.route = ""
+        self._service = ""
+        self._version = 0
+        self._deadline_ms = 0.0
+        self._attempts: list[str] = []
+
+    def routed(self, bound: BoundRoute, call: Call) -> None:
+        """Notes where the request goes and by which version."""
+        self.route = bound.route.path
+        self._service = call.service
+        self._version = call.version
+        self._deadline_ms = call.deadline_ms
+
+    def attempt(self, host: str, refusal: Refusal | None) -> None:
+        """Notes one send and how it ended."""
+        kind = ANSWERED if refusal is None else refusal.kind.value
+        self._attempts.append(f"{host}:{kind}")
+
+    def left_ms(self, now_ms: float) -> float:
+        """Returns the time until the request's deadline."""
+        return max(0.0, self._deadline_ms - now_ms)
+
+    def log(self, log: EventLog, now_ms: float) -> None:
+        """Writes the line."""
+        log.request(
+            "request_ended",
+            self.outcome == ANSWERED,
+            request_id=self._request_id[:MAX_ID_CHARACTERS],
+            route=self.route,
+            service=self._service,
+            routed_version=self._version,
+            attempts=self._attempts,
+            outcome=self.outcome,
+            took_ms=round(now_ms - self._started_ms, 1),
+            timeout_ms=round(max(0.0, self._deadline_ms - self._started_ms)),
+        )
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/worker_check.py
@@ -0,0 +1,97 @@
+"""Finds out whether the backend server is there, and how long it stays cold."""
+
+import typing as t
+import uuid
+
+import trio
+from cactushook import CrashNews
+from cactushook import RequestError
+from cactushook.gatekeeping import Gatekeeper
+
+from .environment import Environment
+from .headers import find
+from .streams import WorkerRequest
+from .worker import Worker
+
+CHECK_PERIOD_S = 0.25
+HEALTH_TIMEOUT_S = 1.0
+
+
+class WorkerCheck:
+    """Checks the backend server after a failure, one check at a time.
+
+    Args:
+        environment: the node's central object.
+        nursery: runs the checks.
+        keeper: is told what they find.
+        on_crash: called when a request may have taken the backend server down.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        nursery: trio.Nursery,
+        keeper: Gatekeeper,
+        on_crash: t.Callable[[CrashNews], None],
+    ) -> None:
+        self._environment = environment
+        self._nursery = nursery
+        self._keeper = keeper
+        self._on_crash = on_crash
+        self._checking = False
+
+    def start(self, worker: Worker | None) -> None:
+        """Finds out whether the backend server crashed, unless that is under way."""
+        listed = self._environment.settings.adapter is not None
+        if listed and worker is not None and not self._checking:
+            self._checking = True
+            self._nursery.start_soon(self._check, worker)
+
+    async def _check(self, worker: Worker) -> None:
+        try:
+            if not await worker.probe():
+                self._on_down(worker)
+                while not await worker.probe():
+                    await trio.sleep(CHECK_PERIOD_S)
+                now_ms = self._environment.now_ms()
+                self._keeper.came_back(now_ms)
+                self._environment.log.info("worker_reachable")
+            await self._read_health(worker)
+            while self._keeper.is_cold(self._environment.now_ms()):
+                await trio.sleep(2 * CHECK_PERIOD_S)
+                await self._read_health(worker)
+        finally:
+            self._checking = False
+
+    def _on_down(self, worker: Worker) -> None:
+        environment = self._environment
+        worker.drop_idle()
+        environment.log.warning("worker_unreachable")
+        for news in self._keeper.went_down(environment.now_ms()):
+            self._on_crash(news)
+
+    async def _read_health(self, worker: Worker) -> None:
+        """Asks the backend server how long it stays cold."""
+        environment = self._environment
+        names = environment.headers
+        service = environment.store.snapshot.services.get(self._keeper.service)
+        if service is None or not names.cold_remaining_ms:
+            return
+        request_id = uuid.uuid4().hex.encode()
+        headers = ((b"host", environment.settings.worker.address.encode()),)
+        request = WorkerRequest("GET", service.health_path.encode(), headers, b"")
+        request = request.with_headers(((names.request_id, request_id),))
+        with trio.move_on_after(HEALTH_TIMEOUT_S):
+            try:
+                async with worker.send(request, needs_id=False) as reply:
+                    async for _ in reply.body:
+                        pass
+                    told = find(reply.headers, names.cold_remaining_ms)
+            except RequestError as error:
+                environment.log.info("health_failed", reason=str(error))
+                return
+            left_ms = int(told) if told.isdigit() else 0
+            environment.log.info(
+                "health_read", status=reply.status, cold_remaining_ms=left_ms
+            )
+            self._keeper.told_cold(left_ms, environment.now_ms())
