Keep one malformed message or unexpected error from ending the process

Cause: an exception in a timer's callback or in a background task reached the node's nursery and ended the process. A list nested 5,000 levels deep raised RecursionError in the bounds check of a thrift payload.

Change: the timer service hands errors of callbacks to a handler; a supervisor starts the node's tasks, logs and counts their errors, and restarts the reader of the store. The gate renames a call whose id another call has.

Towards the backend server: the body of a refusal and of an answer to another request is read up to 64 KiB and 250 ms; what does not end there counts as 'may have run'. Informational responses are limited to 16. A health query skips answers to other requests; a request without an id gets a connection of its own. A client at its connection limit no longer takes the worker as down.

--- a/features/edge_links.feature
+++ b/features/edge_links.feature
@@ -17,6 +17,7 @@
       | two requests with the same stream id  | frame_invalid   |
       | credit beyond the limit               | credit_overrun  |
       | an unknown host state                 | frame_invalid   |
+      | a list nested 5000 levels deep        | frame_invalid   |
 
   Scenario Outline: a gate whose answer breaks the protocol loses its connection: <fault>
     Given a node that has sent a request to a gate
--- a/features/steps/edge_links.py
+++ b/features/steps/edge_links.py
@@ -132,6 +132,11 @@
     return wire.encode(wire.HostsMessage([entry], False))
 
 
+def _nested_lists(levels):
+    field_header, stop = b"\x0f\x00\x01", b"\x00"
+    return to_frame(field_header + levels * b"\x0f\x00\x00\x00\x01" + stop)
+
+
 HANG = wire.encode(call(1, "HANG"))
 FAULTS = {
     "a frame whose checksum is wrong": _wrong_checksum(),
@@ -143,6 +148,7 @@
     "two requests with the same stream id": HANG + HANG,
     "credit beyond the limit": HANG + wire.encode(wire.CreditMessage(1, 8)),
     "an unknown host state": _unknown_host_state(),
+    "a list nested 5000 levels deep": _nested_lists(5_000),
 }
 
 
--- a/features/steps/worker_protocol.py
+++ b/features/steps/worker_protocol.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 
 import h11
 import trio
@@ -41,6 +42,11 @@
     )
 
 
+def chunked(request_id, *headers, status=OK):
+    lines = [f"HTTP/1.1 {status}", f"Request-Id: {request_id}", *headers]
+    return "\r\n".join([*lines, "Transfer-Encoding: chunked", "", ""]).encode()
+
+
 ANSWERS = {
     "signed and complete": lambda own: answer(own, SIGNED),
     "complete, but not signed": lambda own: answer(own),
@@ -65,14 +71,37 @@
     "without a length, ended by a close": unframed,
     "without a length, ended by a reset": unframed,
 }
+ENDLESS = {
+    "a head": (lambda own: b"HTTP/1.1 200 OK\r\n", b"X-A: a\r\n"),
+    "informational responses": (lambda own: b"", b"HTTP/1.1 102 Wait\r\n\r\n"),
+    "a rejection whose body goes on": (
+        lambda own: chunked(own, REJECTED, status=FULL),
+        b"1\r\nx\r\n",
+    ),
+    "a rejection whose body stalls": (
+        lambda own: chunked(own, REJECTED, status=FULL),
+        b"",
+    ),
+    "another request's answer": (lambda own: chunked("other"), b"1\r\nx\r\n"),
+    "a success with a chunk extension": (
+        lambda own: chunked(own, SIGNED) + b"1;a=",
+        b"aaaa",
+    ),
+    "a success with trailers": (
+        lambda own: chunked(own, SIGNED) + b"0\r\n",
+        b"X-A: a\r\n",
+    ),
+}
+FILLER_BYTES = 16_384
 CLOSE_AFTER_ANSWER = ("for another request only", "a rejection of another request")
 
 
 class Backend:
     """A backend server that reads whole requests and answers from a script."""
 
-    def __init__(self, script, ending="", reads_body=True):
+    def __init__(self, script, ending="", reads_body=True, filler=None):
         self.script = script
+        self.filler = filler
         self.ending = ending
         self.reads_body = reads_body
         self.connections = 0
@@ -88,6 +117,8 @@
     async def _serve(self, http, stream):
         while (request_id := await self._request(http, stream)) is not None:
             await stream.send_all(self.script(request_id))
+            if self.filler is not None:
+                await self._fill(stream)
             if self.ending:
                 if self.ending == "reset":
                     option = struct.pack("ii", 1, 0)
@@ -97,6 +128,12 @@
             if not self.reads_body:
                 await trio.sleep_forever()
 
+    async def _fill(self, stream):
+        repeats = FILLER_BYTES // max(1, len(self.filler))
+        while self.filler:
+            await stream.send_all(repeats * self.filler)
+        await stream.receive_some(1)
+
     async def _request(self, http, stream):
         request_id = None
         while True:
@@ -107,7 +144,7 @@
                     return None
                 http.receive_data(data)
             elif isinstance(event, h11.Request):
-                request_id = dict(event.headers)[b"request-id"].decode()
+                request_id = dict(event.headers).get(b"request-id", b"").decode()
                 if not self.reads_body:
                     return request_id
             elif isinstance(event, h11.EndOfMessage):
@@ -119,9 +156,21 @@
 
 def exchange(context, requests, gap_s=0.05):
     """Sends requests one after the other and records the outcome of each."""
-    address = edge_fixtures.free_addresses(1)[0]
     context.outcomes = []
 
+    async def send_all(worker):
+        for index, request in enumerate(requests):
+            if index:
+                await trio.sleep(gap_s)
+            context.outcomes.append(await send_and_classify(worker, request))
+
+    with_client(context, send_all)
+
+
+def with_client(context, use, max_connections=5):
+    """Runs the backend server and calls a function with a client of it."""
+    address = edge_fixtures.free_addresses(1)[0]
+
     async def main():
         async with trio.open_nursery() as nursery:
             ip, _, port = address.rpartition(":")
@@ -132,31 +181,36 @@
                 )
             )
             settings = WorkerSettings(address=address)
-            worker = WorkerClient(settings, load_header_names(NAMES, "Instance"), 5)
-            for index, request in enumerate(requests):
-                if index:
-                    await trio.sleep(gap_s)
-                context.outcomes.append(await send_and_classify(worker, request))
+            names = load_header_names(NAMES, "Instance")
+            await use(WorkerClient(settings, names, max_connections))
             nursery.cancel_scope.cancel()
 
     trio.run(main)
 
 
-async def send_and_classify(worker, request):
+async def send_and_classify(worker, request, **options):
     """Returns the body of the answer, or the kind of the error."""
     try:
         with trio.fail_after(edge_fixtures.WAIT_LIMIT_S):
-            async with worker.send(request) as reply:
+            async with worker.send(request, **options) as reply:
                 return b"".join([part async for part in reply.body]).decode()
     except RequestError as error:
         return error.kind.value
 
 
 def request(request_id="r1", body=b"", method="GET"):
-    headers = ((b"host", b"x"), (b"request-id", request_id.encode()))
+    headers = ((b"host", b"x"),)
+    if request_id:
+        headers += ((b"request-id", request_id.encode()),)
     return WorkerRequest(method, b"/a", headers, body)
 
 
+@given("a backend server whose answer is {text}, without end")
+def endless(context, text):
+    script, filler = ENDLESS[text]
+    context.backend = Backend(script, filler=filler)
+
+
 @given("a backend server whose answer is {text}")
 def scripted(context, text):
     ending = ""
@@ -193,7 +247,9 @@
 
 @when("the gate sends it a request with an id")
 def send_one(context):
+    started_s = time.monotonic()
     exchange(context, [request("r1"), request("r2")])
+    context.took_s = (time.monotonic() - started_s) / 2
     context.outcome = context.outcomes[0]
 
 
@@ -239,3 +295,71 @@
     wanted = [f"body of r{index}" for index in range(5)]
     assert context.outcomes == wanted, context.outcomes
     assert context.backend.connections == 1
+
+
+@given("a backend server that rejects every other request, and repeats each rejection")
+def repeats_rejections(context):
+    previous = []
+
+    def script(own):
+        late = previous.pop() if previous else b""
+        if int(own[1:]) % 2:
+            return late + answer(own, SIGNED, body=f"body of {own}".encode())
+        current = answer(own, REJECTED, status=FULL)
+        previous.append(current)
+        return late + current
+
+    context.backend = Backend(script)
+
+
+@then('the rejected requests end as "worker_rejected" and the others with their body')
+def rejections_told_apart(context):
+    wanted = [
+        f"body of r{index}" if index % 2 else "worker_rejected" for index in range(6)
+    ]
+    assert context.outcomes == wanted, context.outcomes
+
+
+@then('the request ends as "{text}" within {limit_s:d} s')
+def ends_in_time(context, text, limit_s):
+    assert context.outcome == text, context.outcomes
+    assert context.took_s < limit_s, context.took_s
+
+
+@when("the gate sends a request and then queries its health")
+def then_health(context):
+    context.outcomes = []
+
+    async def use(worker):
+        for index in range(5):
+            option = {"requires_request_id": index % 2 == 0}
+            body = await send_and_classify(worker, request(f"r{index}"), **option)
+            context.outcomes.append(body)
+            await trio.sleep(0.05)
+
+    with_client(context, use)
+
+
+@when("the gate sends a request without an id between two others")
+def without_id(context):
+    exchange(context, [request("r1"), request(""), request("r3")])
+
+
+@then("it used {count:d} connections")
+def used_connections(context, count):
+    assert context.outcomes[0] == context.outcomes[2] == "body", context.outcomes
+    assert context.backend.connections == count, context.backend.connections
+
+
+@when("all connections are in use and the gate checks that it is reachable")
+def checks_when_full(context):
+    async def use(worker):
+        async with worker.send(request()):
+            context.reachable = await worker.probe()
+
+    with_client(context, use, max_connections=1)
+
+
+@then("it is reachable")
+def is_reachable(context):
+    assert context.reachable
--- a/features/worker_protocol.feature
+++ b/features/worker_protocol.feature
@@ -23,18 +23,38 @@
       | without a length, ended by a close   | body            | closed |
       | without a length, ended by a reset   | worker_lost     | closed |
 
-  Scenario: an early answer to a long body closes the connection
-    Given a backend server that answers before it has read a body
-    When the gate sends it a request with a body of 4000000 bytes
-    Then the request ends as "body"
+  Scenario Outline: bytes without end, until the gate closes the connection: <answer>
+    Given a backend server whose answer is <answer>, without end
+    When the gate sends it a request with an id
+    Then the request ends as "<outcome>" within 2 s
     And the connection is closed
 
-  Scenario: the client keeps to the idle timeout that the backend server announces
-    Given a backend server that keeps idle connections for 1 s
-    When the gate sends two requests 900 ms apart
-    Then each uses a connection of its own
+    Examples:
+      | answer                              | outcome        |
+      | a head                              | worker_lost    |
+      | informational responses             | answer_invalid |
+      | a rejection whose body goes on      | answer_invalid |
+      | a rejection whose body stalls       | answer_invalid |
+      | another request's answer            | answer_invalid |
+      | a success with a chunk extension    | worker_lost    |
+      | a success with trailers             | worker_lost    |
+
+  Scenario: a worker writes an earlier refusal once more on a kept connection
+    Given a backend server that rejects every other request, and repeats each rejection
+    When the gate sends 6 requests one after the other
+    Then the rejected requests end as "worker_rejected" and the others with their body
 
-  Scenario: a late answer is not mistaken for the answer to the next request
+  Scenario: a late copy of an answer is not taken for a health answer
     Given a backend server that answers each request a second time with the next one
-    When the gate sends 5 requests one after the other
+    When the gate sends a request and then queries its health
     Then each request ends with the body of its own answer
+
+  Scenario: a request without an id shares no connection with others
+    Given a backend server whose answer is signed and complete
+    When the gate sends a request without an id between two others
+    Then it used 2 connections
+
+  Scenario: a backend server whose connections are all in use is not down
+    Given a backend server whose answer is signed and complete
+    When all connections are in use and the gate checks that it is reachable
+    Then it is reachable
--- a/packages/cactushook-node/src/cactushook_node/change_feed.py
+++ b/packages/cactushook-node/src/cactushook_node/change_feed.py
@@ -5,7 +5,6 @@
 import typing as t
 import zlib
 
-import trio
 from cactushook import deltas
 from cactushook import ErrorKind
 from cactushook import RequestError
@@ -19,6 +18,7 @@
 from .environment import Environment
 from .link_pool import LinkPool
 from .links import Link
+from .supervision import TaskStarter
 
 FOLLOW_PERIOD_MS = 500.0
 # A follower that does not renew its subscription in this time gets no more changes.
@@ -45,7 +45,7 @@
     Args:
         environment: the node's central object.
         links: connections to other nodes.
-        nursery: runs the tasks that send messages.
+        tasks: runs the tasks that send messages.
         replica: the node's replica of the store.
         is_fresh: returns whether the node itself reads the store and is up to date.
     """
@@ -54,13 +54,13 @@
         self,
         environment: Environment,
         links: LinkPool,
-        nursery: trio.Nursery,
+        tasks: TaskStarter,
         replica: Replica,
         is_fresh: t.Callable[[float], bool],
     ) -> None:
         self._environment = environment
         self._links = links
-        self._nursery = nursery
+        self._tasks = tasks
         self._replica = replica
         self._is_fresh = is_fresh
         self._followers: dict[Link, _Follower] = {}
@@ -84,7 +84,7 @@
             subscribed_ms = self._subscribed_ms.get(address, float("-inf"))
             if now_ms - subscribed_ms >= FOLLOW_PERIOD_MS:
                 self._subscribed_ms[address] = now_ms
-                self._nursery.start_soon(self._subscribe, address, index == 0)
+                self._tasks.start_soon(self._subscribe, address, index == 0)
 
     def on_follow(self, link: Link, message: wire.Message) -> None:
         """Records a follower's subscription and sends it the changes that it lacks."""
--- a/packages/cactushook-node/src/cactushook_node/distribution.py
+++ b/packages/cactushook-node/src/cactushook_node/distribution.py
@@ -23,6 +23,7 @@
 from .link_pool import LinkPool
 from .links import Link
 from .platform import Platform
+from .supervision import TaskStarter
 
 TICK_MS = 100
 
@@ -34,7 +35,7 @@
         environment: the node's central object.
         platform: the platform's configuration service.
         links: connections to other nodes.
-        nursery: runs the calls to the platform and to other nodes.
+        tasks: runs the calls to the platform and to other nodes.
     """
 
     def __init__(
@@ -42,12 +43,12 @@
         environment: Environment,
         platform: Platform,
         links: LinkPool,
-        nursery: trio.Nursery,
+        tasks: TaskStarter,
     ) -> None:
         self._environment = environment
         self._platform = platform
         self._links = links
-        self._nursery = nursery
+        self._tasks = tasks
         self._unread_domains: set[str] = set()
         settings = environment.settings
         self._distributor = Distributor(
@@ -129,13 +130,13 @@
         for action in actions:
             match action:
                 case messages.Send():
-                    self._nursery.start_soon(self._send, action)
+                    self._tasks.start_soon(self._send, action)
                 case messages.ApplySnapshot(snapshot):
                     self._on_snapshot_applied(snapshot)
                 case messages.RefuseVersion(head, error):
                     self._on_version_refused(head.version, error)
                 case _:
-                    self._nursery.start_soon(self._call_source, action)
+                    self._tasks.start_soon(self._call_source, action)
 
     async def _send(self, action: messages.Send) -> None:
         await self.send_to(action.address, wire.control_to_message(action.message))
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -28,6 +28,7 @@
 from .environment import Environment
 from .gate import Gate
 from .headers import find_header
+from .headers import parse_number
 from .http_messages import Emit
 from .http_messages import Headers
 from .http_messages import remove_hop_by_hop
@@ -381,11 +382,12 @@
     raw = request.header(name)
     if not raw:
         return default
-    if not raw.isdigit() or len(raw) > 9:
+    number = parse_number(raw)
+    if number is None:
         raise RequestError(
             ErrorKind.REQUEST_INVALID, f"header {name.decode()!r} is not a number"
         )
-    return int(raw)
+    return number
 
 
 def _parse_issued_ms(key: str, header: str) -> float:
--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -93,7 +93,7 @@
         self.board.snapshot.watch(self._add_version_to_log)
         self._edge_limits: EdgeLimits | None = None
         self.board.caller_limits.watch(self._reset_edge_limits)
-        self.timers = TimerService(self.now_ms())
+        self.timers = TimerService(self.now_ms(), on_error=self._on_timer_error)
         self._settings_file = settings_file
         if settings_file is not None:
             self._settings_mtime_ns = settings_file.stat().st_mtime_ns
@@ -174,6 +174,14 @@
             await trio.sleep(TICK_MS / 1_000)
             self.timers.advance(self.now_ms())
 
+    def record_failure(self, place: str, error: Exception) -> None:
+        """Counts and logs an unexpected error."""
+        self.metrics.handler_failures.labels(place).inc()
+        self.log.warning("unexpected_error", place=place, reason=repr(error))
+
+    def _on_timer_error(self, error: Exception) -> None:
+        self.record_failure("timer", error)
+
     def _add_version_to_log(self, snapshot: Snapshot) -> None:
         self.log.add_shared_fields(version=snapshot.head.version)
 
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -1,6 +1,7 @@
 """The gate: applies the gatekeeper's decisions to requests for this host's worker."""
 
 import dataclasses
+import itertools
 import typing as t
 
 import trio
@@ -40,6 +41,7 @@
 from .http_messages import WorkerRequest
 from .logs import MAX_REQUEST_ID_CHARACTERS
 from .logs import OUTCOME_ANSWERED
+from .supervision import TaskStarter
 from .worker_check import WorkerHealthCheck
 from .worker_client import WorkerClient
 
@@ -92,12 +94,12 @@
 
     Args:
         environment: the node's central object.
-        nursery: runs keyed requests, which outlive their callers.
+        tasks: runs keyed requests, which outlive their callers.
     """
 
-    def __init__(self, environment: Environment, nursery: trio.Nursery) -> None:
+    def __init__(self, environment: Environment, tasks: TaskStarter) -> None:
         self._environment = environment
-        self._nursery = nursery
+        self._tasks = tasks
         needs_listing = environment.settings.adapter is not None
         self._keeper = Gatekeeper(
             environment.membership.own, needs_listing=needs_listing
@@ -110,7 +112,7 @@
         self._worker: WorkerClient | None = None
         self._answers = AnswerBuffer(self.load)
         self._health_check = WorkerHealthCheck(
-            environment, nursery, self._keeper, self._notify_crash
+            environment, tasks, self._keeper, self._notify_crash
         )
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
         environment.board.snapshot.watch(self._on_snapshot)
@@ -191,6 +193,7 @@
         """Runs or refuses one request and emits the answer's events."""
         environment = self._environment
         offered_ms = environment.now_ms()
+        call = self._with_unique_id(call)
         *others, verdict = self._keeper.offer(
             call, environment.membership.hosts, offered_ms, self.monotonic_epoch_ms()
         )
@@ -205,6 +208,17 @@
         elif run_result.reply is not None:
             await self._answers.send(run_result.reply, emit)
 
+    def _with_unique_id(self, call: Call) -> Call:
+        """Renames a call whose id another call at this gate has.
+
+        Callers choose the ids. The backend server still gets the id in the headers.
+        """
+        request_id = call.request_id
+        numbers = itertools.count(2)
+        while self._keeper.holds(call) or call.request_id in self._verdict_events:
+            call = dataclasses.replace(call, request_id=f"{request_id}#{next(numbers)}")
+        return call
+
     def _log_request_ended(
         self, call: Call, refusal: Refusal | None, offered_ms: float
     ) -> None:
@@ -254,7 +268,7 @@
             case Admitted() | Queued():
                 run = _KeyedRun(trio.Event())
                 self._keyed_runs[call.key] = run
-                self._nursery.start_soon(self._run_keyed, call, verdict, request, run)
+                self._tasks.start_soon(self._run_keyed, call, verdict, request, run)
                 await run.done.wait()
                 verdict = self._keeper.resolve_duplicate(
                     call, self.monotonic_epoch_ms()
@@ -306,8 +320,7 @@
         return _RunResult(refusal, reply)
 
     async def _wait_for_verdict(self, call: Call) -> GateVerdict:
-        event = trio.Event()
-        self._verdict_events[call.request_id] = event
+        event = self._verdict_events.setdefault(call.request_id, trio.Event())
         try:
             await event.wait()
         except trio.Cancelled:
@@ -350,7 +363,7 @@
         for verdict in verdicts:
             request_id = verdict.call.request_id
             self._verdicts[request_id] = verdict
-            self._verdict_events[request_id].set()
+            self._verdict_events.setdefault(request_id, trio.Event()).set()
 
     async def _send_within_deadline(
         self, call: Call, request: WorkerRequest, emit: Emit | AnswerRecorder
--- a/packages/cactushook-node/src/cactushook_node/headers.py
+++ b/packages/cactushook-node/src/cactushook_node/headers.py
@@ -4,6 +4,8 @@
 
 from .settings import HeaderSettings
 
+MAX_DIGITS = 9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderNames:
@@ -58,6 +60,13 @@
     return HeaderNames(*(text.lower().encode() for text in (*names, instance)))
 
 
+def parse_number(value: bytes) -> int | None:
+    """Returns the number in a header's value, or None if it is not a valid number."""
+    if not value.isdigit() or len(value) > MAX_DIGITS:
+        return None
+    return int(value)
+
+
 def find_header(headers: tuple[tuple[bytes, bytes], ...], name: bytes) -> bytes:
     """Returns the value of a header, or empty bytes; ``name`` is in lower case."""
     if not name:
--- a/packages/cactushook-node/src/cactushook_node/join_protocol.py
+++ b/packages/cactushook-node/src/cactushook_node/join_protocol.py
@@ -1,6 +1,5 @@
 """Announces this host as a home of keys to the earlier hosts of its service."""
 
-import trio
 from cactushook import HostState
 from cactushook.homes import Acknowledgement
 
@@ -9,6 +8,7 @@
 from .environment import Environment
 from .gate import Gate
 from .links import Link
+from .supervision import TaskStarter
 
 JOIN_PERIOD_MS = 100
 
@@ -20,7 +20,7 @@
         environment: the node's central object.
         gate: records the acknowledgements.
         distribution: sends the messages.
-        nursery: runs the sending tasks.
+        tasks: runs the sending tasks.
     """
 
     def __init__(
@@ -28,12 +28,12 @@
         environment: Environment,
         gate: Gate,
         distribution: Distribution,
-        nursery: trio.Nursery,
+        tasks: TaskStarter,
     ) -> None:
         self._environment = environment
         self._gate = gate
         self._distribution = distribution
-        self._nursery = nursery
+        self._tasks = tasks
         self._pending_addresses: set[str] = set()
         environment.timers.every(JOIN_PERIOD_MS, self._on_timer, first_ms=0)
 
@@ -69,7 +69,7 @@
         for host in self._gate.homes.pending_acknowledgers(hosts):
             if host.address not in self._pending_addresses:
                 self._pending_addresses.add(host.address)
-                self._nursery.start_soon(self._send_join, host.address)
+                self._tasks.start_soon(self._send_join, host.address)
 
     async def _send_join(self, address: str) -> None:
         own = self._environment.membership.own
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -9,6 +9,7 @@
 from .environment import Environment
 from .links import Link
 from .links import LinkHandler
+from .supervision import TaskStarter
 
 CONNECT_TIMEOUT_S = 0.5
 HELLO_TIMEOUT_S = 1.0
@@ -20,15 +21,15 @@
     Args:
         environment: the node's central object.
         handler: receives requests and control messages.
-        nursery: runs the links.
+        tasks: runs the links.
     """
 
     def __init__(
-        self, environment: Environment, handler: LinkHandler, nursery: trio.Nursery
+        self, environment: Environment, handler: LinkHandler, tasks: TaskStarter
     ) -> None:
         self._environment = environment
         self._handler = handler
-        self._nursery = nursery
+        self._tasks = tasks
         self._links: dict[str, Link] = {}
         self._locks: collections.defaultdict[str, trio.Lock] = collections.defaultdict(
             trio.Lock
@@ -71,7 +72,7 @@
         except (OSError, trio.TooSlowError) as error:
             raise _unreachable(address, repr(error)) from error
         link = Link(self._environment, stream, self._handler)
-        self._nursery.start_soon(self._run, link, stream)
+        self._tasks.start_soon(self._run, link, stream)
         # The kernel accepts connections even for a stopped process.
         with trio.move_on_after(HELLO_TIMEOUT_S):
             await link.hello_received.wait()
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -31,6 +31,7 @@
 from .platform import HttpPlatform
 from .replication import Replication
 from .settings import Settings
+from .supervision import Supervisor
 
 READY_CHECK_MS = 50
 LOG_PERIOD_MS = 50
@@ -47,8 +48,9 @@
     def __init__(self, environment: Environment, nursery: trio.Nursery) -> None:
         self.environment = environment
         self._nursery = nursery
-        self.links = LinkPool(environment, self, nursery)
-        self.gate = Gate(environment, nursery)
+        self._tasks = Supervisor(environment, nursery)
+        self.links = LinkPool(environment, self, self._tasks)
+        self.gate = Gate(environment, self._tasks)
         self.entry = Entry(environment, self.links, self.gate)
         adapter = adapters.create_adapter(environment.settings, environment.metrics)
         self._has_adapter = adapter is not None
@@ -56,13 +58,15 @@
         if adapter is None:
             self.distribution = self._make_distribution()
         else:
-            self.distribution = Replication(environment, adapter, self.links, nursery)
+            self.distribution = Replication(
+                environment, adapter, self.links, self._tasks
+            )
         self.edge = Edge(environment, self.entry)
         self.admin = Admin(environment, self.entry.router)
         self._join_protocol: JoinProtocol | None = None
         if adapter is None:
             self._join_protocol = JoinProtocol(
-                environment, self.gate, self.distribution, nursery
+                environment, self.gate, self.distribution, self._tasks
             )
         self._started_ms = environment.now_ms()
         self.gate.add_crash_listener(self._on_crash)
@@ -74,7 +78,7 @@
             environment.metrics,
             environment.board.source_reachable,
         )
-        return Distribution(environment, platform, self.links, self._nursery)
+        return Distribution(environment, platform, self.links, self._tasks)
 
     async def run(self) -> None:
         """Starts all parts, waits for SIGTERM or SIGINT and stops the node.
@@ -84,7 +88,7 @@
         stop_receiver = trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
         reload_receiver = trio.open_signal_receiver(signal.SIGHUP)
         with stop_receiver as signals, reload_receiver as hangups:
-            self._nursery.start_soon(self._reload_on_signal, hangups)
+            self._tasks.start_soon(self._reload_on_signal, hangups)
             await self._start()
             await anext(signals)
             self._nursery.start_soon(self._cancel_at_second_signal, signals)
@@ -197,7 +201,7 @@
         self.environment.log.warning(
             "request_crashed_worker", fingerprint=report.fingerprint
         )
-        self._nursery.start_soon(self._send_crash_report, report)
+        self._tasks.start_soon(self._send_crash_report, report)
 
     async def _send_crash_report(self, report: CrashReport) -> None:
         message = wire.CrashMessage(report.service, report.fingerprint, report.host)
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -10,7 +10,6 @@
 import dataclasses
 import typing as t
 
-import trio
 from cactushook import ErrorKind
 from cactushook import HostState
 from cactushook import Pause
@@ -31,6 +30,8 @@
 from .link_pool import LinkPool
 from .links import Link
 from .store_reader import StoreReader
+from .supervision import keep_running
+from .supervision import TaskStarter
 
 PLAN_PERIOD_MS = 100
 # Delay of a pull, since a peer may receive a change moments before this node does.
@@ -61,7 +62,7 @@
         environment: the node's central object.
         adapter: translates the store's values.
         links: connections to other nodes.
-        nursery: runs the watch and the tasks that send messages to peers.
+        tasks: runs the watch and the tasks that send messages to peers.
     """
 
     def __init__(
@@ -69,12 +70,12 @@
         environment: Environment,
         adapter: Adapter,
         links: LinkPool,
-        nursery: trio.Nursery,
+        tasks: TaskStarter,
     ) -> None:
         self._environment = environment
         self._adapter = adapter
         self._links = links
-        self._nursery = nursery
+        self._tasks = tasks
         self._replica = Replica()
         self._reader = StoreReader(
             environment,
@@ -84,7 +85,7 @@
             self._on_outage,
         )
         self._change_feed = ChangeFeed(
-            environment, links, nursery, self._replica, self._reader.is_fresh
+            environment, links, tasks, self._replica, self._reader.is_fresh
         )
         self._lapsed_records: dict[str, _LapsedRecord] = {}
         self._failing_since_ms: float | None = None
@@ -94,7 +95,7 @@
     def start(self) -> None:
         """Starts the store reader and registers with the timer service."""
         environment = self._environment
-        self._nursery.start_soon(self._reader.run)
+        self._tasks.start_soon(keep_running, environment, self._reader.run)
         environment.timers.every(PLAN_PERIOD_MS, self._apply_plan, first_ms=0)
         period_ms = environment.settings.gossip_period_ms
         environment.timers.every(period_ms, self._gossip, first_ms=0)
@@ -308,7 +309,7 @@
         address = self._random_peer()
         if address is not None:
             message = self._change_feed.revision_message(answer=False)
-            self._nursery.start_soon(self.send_to, address, message)
+            self._tasks.start_soon(self.send_to, address, message)
 
     def _random_peer(self) -> str | None:
         environment = self._environment
@@ -323,5 +324,5 @@
     def _on_pause(self, pause: Pause) -> None:
         environment = self._environment
         environment.log.warning("paused", length_ms=int(pause.length_ms))
-        self._nursery.start_soon(self._reader.reconnect)
+        self._tasks.start_soon(self._reader.reconnect)
         self._gossip(environment.now_ms())
--- a/packages/cactushook-node/src/cactushook_node/thrift_bounds.py
+++ b/packages/cactushook-node/src/cactushook_node/thrift_bounds.py
@@ -42,8 +42,7 @@
 
 
 def _skip_struct(payload: bytes, offset: int, depth: int) -> int:
-    if depth == 0:
-        raise _frame_error(f"payload is nested more than {MAX_DEPTH} levels deep")
+    _check_depth(depth)
     while (ttype := payload[offset]) != TType.STOP:
         offset = _skip_value(payload, offset + 1 + _FIELD_NUMBER_BYTES, ttype, depth)
     return offset + 1
@@ -58,11 +57,12 @@
     if ttype == TType.STRUCT:
         return _skip_struct(payload, offset, depth - 1)
     if ttype == TType.LIST:
-        return _skip_list(payload, offset, depth)
+        return _skip_list(payload, offset, depth - 1)
     raise _frame_error(f"payload holds a value of type {ttype}")
 
 
 def _skip_list(payload: bytes, offset: int, depth: int) -> int:
+    _check_depth(depth)
     ttype, count = _LIST_HEADER.unpack_from(payload, offset)
     offset += _LIST_HEADER.size
     _check_length(count)
@@ -73,6 +73,11 @@
     return offset
 
 
+def _check_depth(depth: int) -> None:
+    if depth == 0:
+        raise _frame_error(f"payload is nested more than {MAX_DEPTH} levels deep")
+
+
 def _check_end(payload: bytes, offset: int) -> int:
     if offset > len(payload):
         raise _frame_error("payload is truncated")
--- a/packages/cactushook-node/src/cactushook_node/worker_check.py
+++ b/packages/cactushook-node/src/cactushook_node/worker_check.py
@@ -10,7 +10,9 @@
 
 from .environment import Environment
 from .headers import find_header
+from .headers import parse_number
 from .http_messages import WorkerRequest
+from .supervision import TaskStarter
 from .worker_client import WorkerClient
 
 CHECK_PERIOD_S = 0.25
@@ -22,7 +24,7 @@
 
     Args:
         environment: the node's central object.
-        nursery: runs the checks.
+        tasks: runs the checks.
         keeper: receives the results.
         on_crash: called when a request may have crashed the backend server.
     """
@@ -30,12 +32,12 @@
     def __init__(
         self,
         environment: Environment,
-        nursery: trio.Nursery,
+        tasks: TaskStarter,
         keeper: Gatekeeper,
         on_crash: t.Callable[[CrashReport], None],
     ) -> None:
         self._environment = environment
-        self._nursery = nursery
+        self._tasks = tasks
         self._keeper = keeper
         self._on_crash = on_crash
         self._is_checking = False
@@ -48,7 +50,7 @@
         needs_listing = self._environment.settings.adapter is not None
         if needs_listing and worker is not None and not self._is_checking:
             self._is_checking = True
-            self._nursery.start_soon(self._check, worker)
+            self._tasks.start_soon(self._check, worker)
 
     async def _check(self, worker: WorkerClient) -> None:
         try:
@@ -59,10 +61,10 @@
                 now_ms = self._environment.now_ms()
                 self._keeper.on_worker_up(now_ms)
                 self._environment.log.info("worker_reachable")
-            await self._read_health(worker)
+            await self.read_health(worker)
             while self._keeper.is_cold(self._environment.now_ms()):
                 await trio.sleep(2 * CHECK_PERIOD_S)
-                await self._read_health(worker)
+                await self.read_health(worker)
         finally:
             self._is_checking = False
 
@@ -73,7 +75,7 @@
         for report in self._keeper.on_worker_down(environment.now_ms()):
             self._on_crash(report)
 
-    async def _read_health(self, worker: WorkerClient) -> None:
+    async def read_health(self, worker: WorkerClient) -> None:
         """Queries how long the backend server stays cold."""
         environment = self._environment
         names = environment.headers
@@ -93,7 +95,10 @@
             except RequestError as error:
                 environment.log.info("health_failed", reason=str(error))
                 return
-            cold_remaining_ms = int(value) if value.isdigit() else 0
+            cold_remaining_ms = parse_number(value or b"0")
+            if cold_remaining_ms is None:
+                environment.log.warning("health_invalid", value=repr(value[:50]))
+                return
             environment.log.info(
                 "health_read", status=reply.status, cold_remaining_ms=cold_remaining_ms
             )
--- a/packages/cactushook-node/src/cactushook_node/worker_client.py
+++ b/packages/cactushook-node/src/cactushook_node/worker_client.py
@@ -24,6 +24,11 @@
 RECEIVE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
 MAX_STRAY_ANSWERS = 4
+MAX_INFORMATIONAL_RESPONSES = 16
+# Limits on the body of a refusal or of an answer to another request, which is read
+# only to reuse the connection.
+MAX_DISCARDED_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.25
 _BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS", "TRACE"))
 _REPLACED_HEADERS = frozenset((b"content-length", b"expect"))
 _MISDIRECTED = 421
@@ -68,6 +73,9 @@
     ) -> t.AsyncIterator[WorkerReply]:
         """Sends a request and yields its reply.
 
+        A request without an id gets a connection of its own if answers are matched by
+        id, since an answer to an earlier request could not be told apart.
+
         Args:
             request: the request.
             requires_request_id: whether the answer must carry the request's id.
@@ -78,7 +86,11 @@
                 ``WORKER_LOST`` or ``ANSWER_INVALID`` if it may have.
         """
         encoded = _EncodedRequest(request, self._settings.address)
-        connection = await self._acquire_connection()
+        has_id = self._is_identified(encoded)
+        if has_id:
+            connection = await self._acquire_connection()
+        else:
+            connection = await self._open_connection()
         reusable = False
         try:
             yield await connection.exchange(encoded, self._names, requires_request_id)
@@ -93,13 +105,18 @@
             )
             raise
         finally:
-            if reusable:
+            if reusable and has_id:
                 self._idle_connections.append(connection)
             else:
                 self._discard(connection)
 
     async def probe(self) -> bool:
-        """Returns whether the backend server accepts a connection, and keeps it."""
+        """Returns whether the backend server accepts a connection, and keeps it.
+
+        A client that may open no further connection takes the open ones as proof.
+        """
+        if self._open_count >= self._max_connections:
+            return True
         try:
             self._idle_connections.append(await self._open_connection())
         except RequestError:
@@ -111,6 +128,10 @@
         while self._idle_connections:
             self._discard(self._idle_connections.pop())
 
+    def _is_identified(self, encoded: "_EncodedRequest") -> bool:
+        name = self._names.request_id
+        return not name or bool(find_header(encoded.headers, name))
+
     async def _acquire_connection(self) -> "_Connection":
         while self._idle_connections:
             connection = self._idle_connections.pop()
@@ -230,15 +251,17 @@
         await self._send(encoded.data)
         for _ in range(MAX_STRAY_ANSWERS):
             response, headers = await self._read_head()
-            if not requires_request_id:
-                return WorkerReply(response.status_code, headers, self._read_body())
-            if not request_id or find_header(headers, names.request_id) == request_id:
-                refusal = _find_refusal(response.status_code, headers, names)
+            answered_id = find_header(headers, names.request_id)
+            if answered_id == request_id or not request_id:
+                refusal = None
+                if requires_request_id:
+                    refusal = _find_refusal(response.status_code, headers, names)
                 if refusal is None:
                     return WorkerReply(response.status_code, headers, self._read_body())
-                async for _ in self._read_body():
-                    pass
+                await self._discard_body()
                 raise refusal
+            if not answered_id and not requires_request_id:
+                return WorkerReply(response.status_code, headers, self._read_body())
             await self._skip_answer(encoded)
         raise RequestError(
             ErrorKind.ANSWER_INVALID, "the connection carries answers to other requests"
@@ -253,7 +276,7 @@
         self._unsent = data[sent:]
 
     async def _read_head(self) -> tuple[h11.Response, Headers]:
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._record_expiry(event.headers)
@@ -267,10 +290,12 @@
                 raise RequestError(
                     ErrorKind.ANSWER_INVALID, "the connection ended before an answer"
                 )
+        raise RequestError(
+            ErrorKind.ANSWER_INVALID, "too many informational responses arrived"
+        )
 
     async def _skip_answer(self, encoded: _EncodedRequest) -> None:
-        async for _ in self._read_body():
-            pass
+        await self._discard_body()
         http = t.cast(h11.Connection, self._http)
         if http.their_state is not h11.DONE:
             raise RequestError(
@@ -281,6 +306,22 @@
         if http.trailing_data[0]:
             self._http.receive_data(http.trailing_data[0])
 
+    async def _discard_body(self) -> None:
+        """Reads a short body to its end.
+
+        Raises:
+            RequestError: ``ANSWER_INVALID`` if the body exceeds the limits, since an
+                answer that does not end proves nothing about the request.
+        """
+        size_bytes = 0
+        with trio.move_on_after(DISCARD_TIMEOUT_S) as scope:
+            async for part in self._read_body():
+                size_bytes += len(part)
+                if size_bytes > MAX_DISCARDED_BYTES:
+                    break
+        if size_bytes > MAX_DISCARDED_BYTES or scope.cancelled_caught:
+            raise RequestError(ErrorKind.ANSWER_INVALID, "the answer does not end")
+
     async def _read_body(self) -> t.AsyncIterator[bytes]:
         while not isinstance(event := await self._next_event(), h11.EndOfMessage):
             yield bytes(event.data)
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -132,6 +132,11 @@
         """The requests that wait for a slot."""
         return tuple(item.call for item in self._queue)
 
+    def holds(self, request_id: str) -> bool:
+        """Returns whether a request with this id runs or waits."""
+        is_waiting = any(item.call.request_id == request_id for item in self._queue)
+        return is_waiting or request_id in self._running
+
     @property
     def is_idle(self) -> bool:
         """Whether nothing runs and nothing waits."""
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -335,6 +335,10 @@
             return [Refused(call, refusal)]
         return [*self._give_up_refused_keys(self.admission.offer(call, now_ms))]
 
+    def holds(self, call: Call) -> bool:
+        """Returns whether a request with the call's id runs or waits."""
+        return self.admission is not None and self.admission.holds(call.request_id)
+
     def resolve_duplicate(self, call: Call, epoch_ms: float) -> Replayed | Refused:
         """Returns the verdict on a duplicate whose key has settled."""
         known = self._verdict_on_known_key(call, epoch_ms)
--- a/packages/cactushook/src/cactushook/timers.py
+++ b/packages/cactushook/src/cactushook/timers.py
@@ -7,6 +7,8 @@
 
 PAUSE_THRESHOLD_MS = 1_000
 
+T = t.TypeVar("T")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pause:
@@ -42,13 +44,20 @@
     Args:
         now_ms: the start time.
         pause_threshold_ms: a longer gap between two readings counts as a pause.
+        on_error: called with an error that a callback raised; the other callbacks, and
+            the next call of the same one, are not affected. By default `advance`
+            raises the error.
     """
 
     def __init__(
-        self, now_ms: float, pause_threshold_ms: float = PAUSE_THRESHOLD_MS
+        self,
+        now_ms: float,
+        pause_threshold_ms: float = PAUSE_THRESHOLD_MS,
+        on_error: t.Callable[[Exception], None] | None = None,
     ) -> None:
         self.now_ms = now_ms
         self._pause_threshold_ms = pause_threshold_ms
+        self._on_error = on_error
         self._queue: list[tuple[float, int, Subscription]] = []
         self._sequence = itertools.count()
         self._pause_callbacks: list[t.Callable[[Pause], None]] = []
@@ -92,7 +101,7 @@
         self.now_ms = max(now_ms, self.now_ms)
         if gap_ms > self._pause_threshold_ms:
             for callback in self._pause_callbacks:
-                callback(Pause(started_ms, gap_ms))
+                self._call(callback, Pause(started_ms, gap_ms))
         while self._queue and self._queue[0][0] <= self.now_ms:
             self._run_next()
 
@@ -100,9 +109,17 @@
         _, _, subscription = heapq.heappop(self._queue)
         if subscription.cancelled:
             return
-        subscription.callback(self.now_ms)
+        self._call(subscription.callback, self.now_ms)
         if subscription.period_ms > 0 and not subscription.cancelled:
             self._push(self.now_ms + subscription.period_ms, subscription)
 
+    def _call(self, callback: t.Callable[[T], None], argument: T) -> None:
+        try:
+            callback(argument)
+        except Exception as error:
+            if self._on_error is None:
+                raise
+            self._on_error(error)
+
     def _push(self, at_ms: float, subscription: Subscription) -> None:
         heapq.heappush(self._queue, (at_ms, next(self._sequence), subscription))
