Let only the last gate asked queue a request; place by expected time

Cause: an entry of a large fleet sends a few requests a second over many workers and hardly ever knows a worker's load, while a gate kept a request in its queue although other workers were idle. Slow workers got as many requests as fast ones. Retries with equal loads all went to the host of the first name.

Change: a request may wait for a slot only at the last gate that its entry asks; the earlier ones send it on at once. The last one is the gate with the least expected wait, also one asked before. Gates report how long a request takes, running ones included; an entry compares a few workers by expected time. Ties are broken at random. The router groups a service's hosts by distance once for a host list and compares random samples of a large service. The first samples of a gate's service time count fully, so that a new gate does not look fast.

The boundary of the queue now takes an answer that is expected exactly at its objective as in time: a scenario relied on the old estimate being below 100 ms.

--- a/bench/run.py
+++ b/bench/run.py
@@ -6,6 +6,7 @@
 BENCHES = (
     "latency",
     "departure",
+    "placement",
     "memory_slopes",
     "fleet_processes",
     "distribution_scale",
--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -80,3 +80,25 @@
     Then 3 gates are tried and no retry is spent
     When a worker rejects a request and the budget is spent
     Then 1 gates are tried and the caller receives "retry_budget_spent"
+
+  Scenario: many small workers: a request does not wait behind a busy worker while another gate is left to ask
+    Given an entry that may ask 3 more gates, and 8 workers with 1 slot of which 5 are busy
+    When a request arrives at the entry, in each of 200 draws
+    Then each request starts at once at the first free gate that it asks
+    And one that finds 4 gates busy waits at the last of them only
+    And at least 90 percent of the requests start at once
+
+  Scenario: the only worker of a service may let a request wait at once
+    Given an entry that may ask 3 more gates, and 1 workers with 1 slot of which 1 are busy
+    When a request arrives at the entry, in each of 1 draws
+    Then it waits at the first gate that it asks
+
+  Scenario: slow workers get fewer requests than fast ones
+    Given 20 idle workers of which 7 take 500 ms for a request and the others 200 ms
+    When 400 requests are placed
+    Then at most 10 percent of them go to the slow ones
+
+  Scenario: a worker that turns slow is recognized before its requests end
+    Given a gate with 3 slots whose answers take 100 ms
+    When 3 requests have run for 600 ms
+    Then the gate reports that requests take at least 600 ms
--- a/features/steps/serving_retries.py
+++ b/features/steps/serving_retries.py
@@ -134,7 +134,8 @@
 def still_chosen(context, at_ms):
     choice = context.router.choose("s", EMPTY_SNAPSHOT, [context.host], at_ms)
     assert choice.host is context.host
-    assert choice.passed[0].reason == "refused recently"
+    reason = context.router.exclusion_reason(context.host, EMPTY_SNAPSHOT, at_ms)
+    assert reason == "refused recently", reason
 
 
 @then('the entry avoids it for longer after "{first}" than after "{second}"')
--- a/packages/cactushook-node/src/cactushook_node/call_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/call_messages.py
@@ -6,8 +6,6 @@
 from . import wire
 from .http_messages import WorkerRequest
 
-MAX_WIRE_MS = 2**31 - 1
-
 
 def call_to_message(
     stream_id: int, call: Call, request: WorkerRequest, now_ms: float
@@ -31,12 +29,13 @@
         resend_window_ms=int(call.resend_window_ms),
         fingerprint=call.fingerprint,
         fences=list(call.fences),
-        objective_ms=min(MAX_WIRE_MS, int(call.objective_ms - now_ms)),
+        objective_ms=min(wire.MAX_WIRE_MS, int(call.objective_ms - now_ms)),
         priority=call.priority,
         nested=call.nested,
         resent=call.resent,
         insists=call.insists,
         answer_bytes=call.answer_bytes,
+        may_wait=call.may_wait,
     )
 
 
@@ -65,4 +64,5 @@
         resent=message.resent,
         insists=message.insists,
         answer_bytes=message.answer_bytes,
+        may_wait=message.may_wait,
     )
--- a/packages/cactushook-node/src/cactushook_node/explain.py
+++ b/packages/cactushook-node/src/cactushook_node/explain.py
@@ -39,10 +39,10 @@
     snapshot = environment.store.snapshot
     service = bound.team_file.service
     hosts = [h for h in environment.membership.hosts if h.service == service]
-    choice = router.choose(service, snapshot, hosts, environment.now_ms())
+    now_ms = environment.now_ms()
+    choice = router.choose(service, snapshot, hosts, now_ms)
     is_keyed = bound.route.route_class is RouteClass.AT_MOST_ONCE
     chosen = None if is_keyed else choice.host
-    reasons = {passed.host: passed.reason for passed in choice.passed}
     if is_keyed:
         reason = "the request's key determines its home"
     else:
@@ -60,7 +60,8 @@
             PassedWorker(
                 host.name,
                 host.domain,
-                reasons.get(host.name) or _reason_passed(host, chosen),
+                router.exclusion_reason(host, snapshot, now_ms)
+                or _reason_passed(host, chosen),
             )
             for host in sorted(hosts, key=lambda host: host.name)
             if host is not chosen
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -73,6 +73,7 @@
 _FRAME_HEADER = struct.Struct("!II")
 FRAME_HEADER_BYTES = _FRAME_HEADER.size
 CHUNK_BYTES = 32_768
+MAX_WIRE_MS = 2**31 - 1
 INITIAL_CREDIT_CHUNKS = 16
 
 _protocol = TCyBinaryProtocolFactory()
@@ -198,6 +199,7 @@
         capacity=load.capacity,
         accepting=load.accepting,
         send_ms=round(load.send_ms),
+        service_ms=min(MAX_WIRE_MS, round(load.service_ms)),
     )
 
 
@@ -209,6 +211,7 @@
         report.capacity,
         report.accepting,
         report.send_ms,
+        report.service_ms,
     )
 
 
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -30,6 +30,8 @@
   4: bool accepting,
   // Time that a large answer waits for the network link of the sender's host.
   5: i32 send_ms = 0,
+  // Time that a request takes at the worker; 0 if it is not known.
+  6: i32 service_ms = 0,
 }
 
 // A request on its way from an entry to a gate.
@@ -59,6 +61,7 @@
   22: bool insists = false,
   // Expected length of the answer; 0 if it is not known.
   23: i32 answer_bytes = 0,
+  24: bool may_wait = true,
 }
 
 // Start of a worker's answer; `last` is set if `body` is the whole body.
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -85,6 +85,7 @@
         self._running: dict[str, _Running] = {}
         self._queue: list[Queued] = []
         self._service_ms = 0.0
+        self._ended_count = 0
 
     def configure(self, limits: Limits, domain_out: bool, now_ms: float) -> None:
         """Applies a new configuration; restarts the ramp when the domain returns."""
@@ -106,8 +107,19 @@
             queued=len(self._queue),
             capacity=self.ramp.capacity(now_ms),
             accepting=self.accepting,
+            service_ms=max(self._service_ms, self._mean_age_ms(now_ms)),
         )
 
+    def _mean_age_ms(self, now_ms: float) -> float:
+        """Returns how long the running requests have run on average.
+
+        A worker that turns slow is recognized by it before its requests end.
+        """
+        if not self._running:
+            return 0.0
+        started_ms = [item.started_ms for item in self._running.values()]
+        return now_ms - sum(started_ms) / len(started_ms)
+
     @property
     def accepting(self) -> bool:
         """Whether new work is accepted."""
@@ -159,6 +171,8 @@
             return [*verdicts, Refused(call, refusal)]
         if self._has_room(call, now_ms):
             return [*verdicts, self._admit(call, now_ms)]
+        if not call.may_wait:
+            return [*verdicts, Refused(call, self._busy_refusal(call, now_ms))]
         return [*verdicts, *self._enqueue(call, now_ms)]
 
     def release(self, request_id: str, now_ms: float) -> list[Verdict]:
@@ -194,7 +208,7 @@
         latest_start_ms = self._latest_start_ms(call, now_ms)
         # The wait is an estimate: a queued request may start one service time late.
         until_ms = min(until_ms, latest_start_ms + self._service_ms)
-        if now_ms + wait_ms >= min(until_ms, latest_start_ms):
+        if now_ms + wait_ms > min(until_ms, latest_start_ms):
             detail = "no slot is expected to become free in time"
             refusal = Refusal(
                 self._full_kind(now_ms), detail, retry_after_ms=round(wait_ms)
@@ -239,7 +253,9 @@
         return now_ms + LATE_WAIT_SHARE * max(0.0, left_ms)
 
     def _update_service_ms(self, service_ms: float) -> None:
-        self._service_ms += SERVICE_TIME_WEIGHT * (service_ms - self._service_ms)
+        self._ended_count += 1
+        weight = max(SERVICE_TIME_WEIGHT, 1 / self._ended_count)
+        self._service_ms += weight * (service_ms - self._service_ms)
 
     def _admit(self, call: Call, now_ms: float) -> Admitted:
         self._running[call.request_id] = _Running(call, now_ms)
@@ -264,6 +280,13 @@
             return Refusal(ErrorKind.DEADLINE_NOT_RUN, "the deadline has passed")
         return None
 
+    def _busy_refusal(self, call: Call, now_ms: float) -> Refusal:
+        return Refusal(
+            self._full_kind(now_ms),
+            "no slot is free",
+            retry_after_ms=round(self._expected_wait_ms(call, now_ms)),
+        )
+
     def _full_refusal(self, now_ms: float) -> Refusal:
         wait_ms = self.ramp.wait_ms(len(self._queue), self._service_ms, now_ms)
         return Refusal(
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -32,6 +32,7 @@
         resent: whether an earlier send of the request reached a worker.
         insists: whether no other gate is asked if this one refuses.
         answer_bytes: expected length of the answer; 0 if it is not known.
+        may_wait: whether it may wait for a slot; if not, another gate is asked at once.
     """
 
     request_id: str
@@ -52,6 +53,7 @@
     resent: bool = False
     insists: bool = False
     answer_bytes: int = 0
+    may_wait: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +88,7 @@
         capacity: slots that may be used now; below the limit during a ramp.
         accepting: whether new work is accepted.
         send_ms: how long a large answer waits for the host's network link.
+        service_ms: time that a request takes at the worker; 0 if it is not known.
     """
 
     running: int = 0
@@ -93,6 +96,7 @@
     capacity: int = 1
     accepting: bool = True
     send_ms: float = 0.0
+    service_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/cactushook/src/cactushook/dispatch.py
+++ b/packages/cactushook/src/cactushook/dispatch.py
@@ -99,6 +99,9 @@
         self._expects_large_answer = expects_large_answer
         self._sent_count = 0
         self._tried_names: list[str] = []
+        # Gates that were only busy; the last one asked may be one of them.
+        self._busy_names: set[str] = set()
+        self._may_wait = True
         self._current_host: HostRecord | None = None
         self._maybe_run_refusal: Refusal | None = None
 
@@ -112,7 +115,7 @@
     ) -> Step:
         """Decides on the next step after an attempt without a worker's answer."""
         if self._current_host is not None:
-            self._router.avoid(self._current_host, refusal.kind, now_ms)
+            self._record_refusal(self._current_host, refusal, now_ms)
         if ERROR_RESPONSES[refusal.kind].ran is Ran.MAYBE:
             self._maybe_run_refusal = refusal
         if now_ms >= self._call.deadline_ms:
@@ -141,8 +144,9 @@
             view.snapshot,
             view.hosts,
             now_ms,
-            self._tried_names,
+            self._excluded_names(),
             self._expects_large_answer,
+            least_loaded=last is not None and not self._may_ask_further(last),
         )
         if choice.host is None:
             detail = f"no worker of {call.service!r} accepts work"
@@ -152,14 +156,37 @@
         self._current_host = choice.host
         self._tried_names.append(choice.host.name)
         self._sent_count += 1
+        self._may_wait = (
+            self._redirects_left == 0 or self._expects_large_answer or choice.is_only
+        )
         sent = dataclasses.replace(
             call,
             attempts_left=left,
             resent=self._sent_count > 1 or call.resent,
             insists=is_failing and self._redirects_left == 0,
+            may_wait=self._may_wait,
         )
         return SendTo(choice.host, sent, call.deadline_ms - now_ms)
 
+    def _record_refusal(
+        self, host: HostRecord, refusal: Refusal, now_ms: float
+    ) -> None:
+        """Passes the host over for a while, unless it just had no slot free."""
+        if refusal.kind in retries.BUSY_KINDS and not self._may_wait:
+            self._busy_names.add(host.name)
+        else:
+            self._busy_names.discard(host.name)
+            self._router.avoid(host, refusal.kind, now_ms)
+
+    def _excluded_names(self) -> t.Collection[str]:
+        if self._redirects_left > 0:
+            return self._tried_names
+        return [name for name in self._tried_names if name not in self._busy_names]
+
+    def _may_ask_further(self, last: Refusal) -> bool:
+        """Returns whether a gate was only busy and more than one is left to ask."""
+        return last.kind in retries.BUSY_KINDS and self._redirects_left > 0
+
     def _refuse(self, refusal: Refusal) -> Refuse:
         """Refuses the call; never as "not run" if an earlier attempt may have run."""
         if (
--- a/packages/cactushook/src/cactushook/retries.py
+++ b/packages/cactushook/src/cactushook/retries.py
@@ -36,6 +36,9 @@
 )
 
 
+# Refusals of a gate whose worker has no slot free.
+BUSY_KINDS = frozenset((ErrorKind.OVERLOADED, ErrorKind.COLD_START))
+
 Decision: t.TypeAlias = RetryElsewhere | GiveUp
 
 # Refusals given before anything was sent to the worker. Asking another gate then does
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -5,6 +5,9 @@
 import typing as t
 
 from .calls import Load
+from .candidates import CandidateCache
+from .candidates import Candidates
+from .candidates import Location
 from .exceptions import ErrorKind
 from .nodes import HostRecord
 from .nodes import HostState
@@ -18,6 +21,12 @@
 # domains is expensive.
 LARGE_ANSWER_SPILL_RATIO = 1.6
 UNKNOWN_CAPACITY = 10
+# Workers of a larger service are compared in random samples of this size.
+SAMPLE_HOSTS = 16
+# Workers of a sample among which the one expected to answer first is chosen.
+COMPARED_HOSTS = 3
+# Weight of the latest report in the means of all workers' loads.
+MEAN_WEIGHT = 0.05
 
 # How long a worker is passed over after a refusal or failure. An overload says little
 # about the next second; a worker that stops does not return soon.
@@ -51,14 +60,7 @@
     sent_since_load: int = 0
     in_flight: int = 0
     avoid_until_ms: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Passed:
-    """A worker that was passed over, and why."""
-
-    host: str
-    reason: str
+    service_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,11 +69,11 @@
 
     Attributes:
         host: the worker's host, or None.
-        passed: the workers passed over.
+        is_only: whether no other worker is expected to accept the request.
     """
 
     host: HostRecord | None
-    passed: tuple[Passed, ...] = ()
+    is_only: bool = True
 
 
 class Router:
@@ -87,12 +89,12 @@
     def __init__(
         self, domain: str, region: str, rng: random.Random, own: str = ""
     ) -> None:
-        self._own = own
-        self._domain = domain
-        self._region = region
         self._rng = rng
+        self._candidates = CandidateCache(Location(own, domain, region))
         self._workers: dict[str, _WorkerState] = {}
         self._domain_until_ms: dict[str, float] = {}
+        self._mean_service_ms = 1.0
+        self._mean_ratio = 0.0
 
     def record_load(self, host: str, load: Load, now_ms: float) -> None:
         """Records the load that came with an answer."""
@@ -100,6 +102,12 @@
         worker.load = load
         worker.load_received_ms = now_ms
         worker.sent_since_load = 0
+        if load.service_ms:
+            worker.service_ms = load.service_ms
+            change_ms = load.service_ms - self._mean_service_ms
+            self._mean_service_ms += MEAN_WEIGHT * change_ms
+        ratio = (load.running + load.queued) / max(1, load.capacity)
+        self._mean_ratio += MEAN_WEIGHT * (ratio - self._mean_ratio)
 
     def avoid(self, host: HostRecord, kind: ErrorKind, now_ms: float) -> None:
         """Passes a worker over for a while after a refusal or failure.
@@ -131,50 +139,42 @@
         now_ms: float,
         tried: t.Collection[str] = (),
         expects_large_answer: bool = False,
+        least_loaded: bool = False,
     ) -> Choice:
-        """Chooses a worker by distance and load.
+        """Chooses a worker by distance and load, from a sample of a large service.
 
         Near workers come first; farther ones are considered when those are full. A
         worker that refused recently or does not accept work is chosen only if no
-        other is left. A retry goes to the least loaded worker wherever it is.
+        other is left.
 
         Args:
             service: the service to reach.
             snapshot: the configuration in force.
-            hosts: the host list.
+            hosts: the host list; a tuple is grouped only once.
             now_ms: the time.
             tried: hosts already tried for this request.
             expects_large_answer: whether a large answer is expected.
+            least_loaded: whether the least loaded worker is chosen, wherever it is.
         """
-        passed: list[Passed] = []
-        usable: list[HostRecord] = []
-        doubtful: list[HostRecord] = []
-        for host in hosts:
-            if host.service != service:
-                continue
-            exclusion = _exclusion_reason(host, snapshot, tried)
-            reason = exclusion or self._doubt_reason(host, now_ms)
-            if not reason:
-                usable.append(host)
-                continue
-            passed.append(Passed(host.name, reason))
-            if not exclusion:
-                doubtful.append(host)
-        if usable and tried:
-            least = min(
-                usable,
-                key=lambda h: (
-                    self._load_ratio(h, now_ms, expects_large_answer),
-                    h.name,
-                ),
-            )
-            return Choice(least, tuple(passed))
-        if usable:
-            return Choice(
-                self._choose_nearest(usable, now_ms, expects_large_answer),
-                tuple(passed),
-            )
-        return Choice(self._choose_last_resort(doubtful, now_ms), tuple(passed))
+        candidates = self._candidates.get(service, snapshot, hosts)
+        demand = _Demand(now_ms, tried, expects_large_answer)
+        if least_loaded:
+            host = self._choose_least_loaded(candidates, demand)
+        else:
+            host = self._choose_nearest(candidates, demand)
+        if host is None:
+            return Choice(self._choose_last_resort(candidates, demand))
+        return Choice(host, not self._has_other(candidates, host, demand))
+
+    def exclusion_reason(
+        self, host: HostRecord, snapshot: Snapshot, now_ms: float
+    ) -> str:
+        """Returns why a host gets no requests at present, or empty text."""
+        if host.state is not HostState.LIVE:
+            return host.state.value
+        if snapshot.is_out(host.domain):
+            return "failure domain out"
+        return self._doubt_reason(host, now_ms)
 
     def _doubt_reason(self, host: HostRecord, now_ms: float) -> str:
         if self._domain_until_ms.get(host.domain, 0.0) > now_ms:
@@ -189,9 +189,55 @@
             return "does not accept work"
         return ""
 
+    def _is_usable(self, host: HostRecord, demand: "_Demand") -> bool:
+        return host.name not in demand.tried and not self._doubt_reason(
+            host, demand.now_ms
+        )
+
+    def _usable_sample(
+        self, hosts: t.Sequence[HostRecord], demand: "_Demand"
+    ) -> list[HostRecord]:
+        """Returns the usable hosts of a random sample, or of all if that has none."""
+        if len(hosts) > SAMPLE_HOSTS:
+            sample = self._rng.sample(hosts, SAMPLE_HOSTS)
+            usable = [host for host in sample if self._is_usable(host, demand)]
+            if usable:
+                return usable
+        return [host for host in hosts if self._is_usable(host, demand)]
+
+    def _has_other(
+        self, candidates: Candidates, chosen: HostRecord, demand: "_Demand"
+    ) -> bool:
+        return any(
+            host is not chosen and self._is_usable(host, demand)
+            for host in candidates.live
+        )
+
+    def _choose_least_loaded(
+        self, candidates: Candidates, demand: "_Demand"
+    ) -> HostRecord | None:
+        usable = self._usable_sample(candidates.live, demand)
+        if not usable:
+            return None
+        costs = [self._least_cost(host, demand) for host in usable]
+        least = min(costs)
+        return self._rng.choice(
+            [host for host, cost in zip(usable, costs, strict=True) if cost == least]
+        )
+
+    def _least_cost(self, host: HostRecord, demand: "_Demand") -> float:
+        """Returns the expected cost; a worker of unknown load counts as average."""
+        worker = self._workers.get(host.name)
+        cost = self._expected_cost(host, demand)
+        if worker is not None and self._is_fresh(worker, demand.now_ms):
+            return cost
+        return cost * max(1.0, self._mean_ratio)
+
     def _choose_last_resort(
-        self, doubtful: list[HostRecord], now_ms: float
+        self, candidates: Candidates, demand: "_Demand"
     ) -> HostRecord | None:
+        now_ms = demand.now_ms
+
         def rank(host: HostRecord) -> tuple[float, float, float, str]:
             return (
                 max(now_ms, self._domain_until_ms.get(host.domain, 0.0)),
@@ -200,42 +246,53 @@
                 host.name,
             )
 
-        return min(doubtful, key=rank, default=None)
+        left = [h for h in candidates.live if h.name not in demand.tried]
+        return min(left, key=rank, default=None)
 
     def _choose_nearest(
-        self, usable: list[HostRecord], now_ms: float, expects_large_answer: bool
-    ) -> HostRecord:
-        spill_ratio = LARGE_ANSWER_SPILL_RATIO if expects_large_answer else SPILL_RATIO
-        own = next((host for host in usable if host.name == self._own), None)
-        if (
-            expects_large_answer
-            and own is not None
-            and self._load_ratio(own, now_ms) <= SPILL_RATIO
-        ):
-            return own
-        near = [host for host in usable if host.domain == self._domain]
-        region = [host for host in usable if host.region == self._region]
-        for candidates in (near, region, usable):
+        self, candidates: Candidates, demand: "_Demand"
+    ) -> HostRecord | None:
+        spill_ratio = SPILL_RATIO
+        if demand.expects_large_answer:
+            spill_ratio = LARGE_ANSWER_SPILL_RATIO
+            own = candidates.own
+            if (
+                own is not None
+                and self._is_usable(own, demand)
+                and self._load_ratio(own, demand.now_ms) <= SPILL_RATIO
+            ):
+                return own
+        usable: list[HostRecord] = []
+        for tier in candidates.tiers:
+            usable = self._usable_sample(tier, demand)
             with_room = [
-                h
-                for h in candidates
-                if self._load_ratio(h, now_ms, expects_large_answer) <= spill_ratio
+                host
+                for host in usable
+                if self._demand_ratio(host, demand) <= spill_ratio
             ]
             if with_room:
-                return self._choose_less_loaded(with_room, now_ms, expects_large_answer)
-        return self._choose_less_loaded(usable, now_ms, expects_large_answer)
+                return self._choose_less_loaded(with_room, demand)
+        return self._choose_less_loaded(usable, demand) if usable else None
 
     def _choose_less_loaded(
-        self, candidates: list[HostRecord], now_ms: float, expects_large_answer: bool
+        self, hosts: list[HostRecord], demand: "_Demand"
     ) -> HostRecord:
-        if len(candidates) == 1:
-            return candidates[0]
-        first, second = self._rng.sample(candidates, 2)
-        if self._load_ratio(second, now_ms, expects_large_answer) < self._load_ratio(
-            first, now_ms, expects_large_answer
-        ):
-            return second
-        return first
+        """Returns the host with the shortest expected time among a few random ones."""
+        drawn = self._rng.sample(hosts, min(len(hosts), COMPARED_HOSTS))
+        return min(drawn, key=lambda host: self._expected_cost(host, demand))
+
+    def _expected_cost(self, host: HostRecord, demand: "_Demand") -> float:
+        """Returns a measure of the time until the host's worker answers.
+
+        A request waits where more requests than slots are expected.
+        """
+        worker = self._workers.get(host.name)
+        known_ms = 0.0 if worker is None else worker.service_ms
+        ratio = self._demand_ratio(host, demand)
+        return (known_ms or self._mean_service_ms) * (max(1.0, ratio) + ratio / 10)
+
+    def _demand_ratio(self, host: HostRecord, demand: "_Demand") -> float:
+        return self._load_ratio(host, demand.now_ms, demand.expects_large_answer)
 
     def _load_ratio(
         self, host: HostRecord, now_ms: float, expects_large_answer: bool = False
@@ -261,11 +318,13 @@
         return self._workers.setdefault(host, _WorkerState())
 
 
-def _exclusion_reason(
-    host: HostRecord, snapshot: Snapshot, tried: t.Collection[str]
-) -> str:
-    if host.state is not HostState.LIVE:
-        return host.state.value
-    if snapshot.is_out(host.domain):
-        return "failure domain out"
-    return "already tried" if host.name in tried else ""
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Demand:
+    """What a request asks of a worker."""
+
+    now_ms: float
+    tried: t.Collection[str]
+    expects_large_answer: bool
+
+
+__all__ = ["AVOID_MS", "Choice", "LARGE_ANSWER_SPILL_RATIO", "Router", "SPILL_RATIO"]
