Follow changes of the host list record by record; tell instances apart in views

Cause: each record that changed cost every node a decode of all records, a new membership and a new election of readers.

Change: a record that has not changed is decoded once; views of failure domains stay as they are unless a record differs; readers are elected when a live host or its address changes. The digest covers the instance. The session sends 40 keyed requests just before the kills, also in the scenario that must find nothing.

--- a/features/serving_checks.feature
+++ b/features/serving_checks.feature
@@ -8,6 +8,7 @@
     And after 1100 ms host "order-desk-th-central-b-0" leaves
     And after 1500 ms hosts "order-desk-th-central-c-0, order-desk-th-central-c-1, workshop-files-th-central-c-0, workshop-files-th-central-b-0" are killed and return after 1000 ms
     And after 1440 ms 40 downloads of 30 ms are requested at once
+    And after 1490 ms 40 commissions of 30 ms are requested at once
     And the session has ended
     Then the check "<check>" finds a violation
 
@@ -31,6 +32,7 @@
     And after 1100 ms host "order-desk-th-central-b-0" leaves
     And after 1500 ms hosts "order-desk-th-central-c-0, order-desk-th-central-c-1, workshop-files-th-central-c-0, workshop-files-th-central-b-0" are killed and return after 1000 ms
     And after 1440 ms 40 downloads of 30 ms are requested at once
+    And after 1490 ms 40 commissions of 30 ms are requested at once
     And the session has ended
     Then no promise is broken
 
--- a/features/steps/serving_checks.py
+++ b/features/steps/serving_checks.py
@@ -125,6 +125,16 @@
         context.world.schedule(delay_ms, context.callers.send, kind)
 
 
+@when(
+    "after {delay_ms:d} ms {count:d} commissions of {work_ms:d} ms are requested "
+    "at once"
+)
+def commissions(context, delay_ms, count, work_ms):
+    kind = callers.RequestKind("/commissions", 1.0, float(work_ms), "POST")
+    for _ in range(count):
+        context.world.schedule(delay_ms, context.callers.send, kind)
+
+
 @given("a transcript in which a refused request starts later")
 def refused_then_started(context):
     context.world = mock.Mock()
--- a/packages/cactushook/src/cactushook/membership.py
+++ b/packages/cactushook/src/cactushook/membership.py
@@ -213,14 +213,44 @@
     def replace_all(self, records: t.Iterable[HostRecord]) -> None:
         """Replaces all records by those of an authoritative list.
 
-        The node's own record becomes gone unless the list contains it.
+        The node's own record becomes gone unless the list contains it. Views of
+        failure domains whose records are the same stay as they are.
         """
-        records = tuple(records)
-        gone = msgspec.structs.replace(self.own, state=HostState.GONE)
-        own = next((r for r in records if r.name == self.own.name), gone)
+        listed: dict[str, dict[str, HostRecord]] = {}
+        for record in records:
+            listed.setdefault(record.domain, {})[record.name] = record
+        own = next(
+            (
+                found[self.own.name]
+                for found in listed.values()
+                if self.own.name in found
+            ),
+            None,
+        )
+        if own is None:
+            own = msgspec.structs.replace(self.own, state=HostState.GONE)
+            listed.setdefault(own.domain, {})[own.name] = own
         self.own = own
-        self._views = {}
-        self._put_records((own, *(r for r in records if r.name != own.name)))
+        for domain in self._views.keys() - listed.keys():
+            self._replace_view(domain, {})
+        for domain, found in listed.items():
+            self._replace_view(domain, found)
+
+    def _replace_view(self, domain: str, listed: t.Mapping[str, HostRecord]) -> None:
+        view = self.view(domain)
+        if not listed:
+            del self._views[domain]
+        elif view.records.keys() <= listed.keys():
+            changed = [r for r in listed.values() if view.records.get(r.name) != r]
+            if not changed:
+                return
+            self._views[domain] = self._cache.with_records(view, changed)
+        else:
+            empty = DomainView(domain, {}, 0, 0)
+            records = list(listed.values())
+            self._views[domain] = self._cache.with_records(empty, records)
+        self._services = {}
+        self._hosts = None
 
     def change_state(self, state: HostState) -> None:
         """Changes the state of the node's own record."""
@@ -266,6 +296,7 @@
             record.service,
             record.state.value,
             str(record.incarnation),
+            record.instance,
         )
     )
     return xxhash.xxh3_64_intdigest(text.encode()) & _DIGEST_MASK
--- a/packages/cactushook/src/cactushook/upstreams.py
+++ b/packages/cactushook/src/cactushook/upstreams.py
@@ -72,6 +72,7 @@
         self._rng = rng
         self._candidates = tuple(s for s in self._seeds if s != own.address)
         self._is_reader = own.address in self._seeds
+        self._live_addresses: dict[str, tuple[str, str]] = {}
         self._domains: dict[str, str] = {}
         self._upstreams: dict[str, _Upstream] = {}
         self._followed: tuple[str, ...] = ()
@@ -84,12 +85,14 @@
 
     def update_hosts(self, hosts: t.Iterable[HostRecord]) -> None:
         """Elects readers from a host list; one without live hosts is ignored."""
-        domains: dict[str, list[HostRecord]] = {}
-        for host in hosts:
-            if host.state is HostState.LIVE:
-                domains.setdefault(host.domain, []).append(host)
-        if not domains:
+        live = {h.name: h for h in hosts if h.state is HostState.LIVE}
+        addresses = {name: (h.domain, h.address) for name, h in live.items()}
+        if not live or addresses == self._live_addresses:
             return
+        self._live_addresses = addresses
+        domains: dict[str, list[HostRecord]] = {}
+        for host in live.values():
+            domains.setdefault(host.domain, []).append(host)
         readers = [
             reader
             for domain, members in domains.items()
