Refuse requests of a stopping node that knows no configuration with a retry

Cause: a node that is stopped goes on serving, whatever its readiness says. One that was stopped before it had read a configuration answered 404 to every request, although the configuration allows them.

Change: such a node refuses with 503 and a retry time until it has a configuration.

--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -13,9 +13,14 @@
 from cactushook import ErrorKind
 from cactushook.fleet import CallerLimits
 from cactushook_node.edge import Edge
+from cactushook_node.entry import Entry
+from cactushook_node.entry import EntryRequest
 from cactushook_node.environment import Environment
+from cactushook_node.environment import Readiness
+from cactushook_node.gate import Gate
 from cactushook_node.http_messages import ReplyRefused
 from cactushook_node.http_server import HttpConnection
+from cactushook_node.link_pool import LinkPool
 from cactushook_node.logs import LineWriter
 from cactushook_node.settings import EdgeLimits
 from cactushook_node.settings import read_settings
@@ -271,3 +276,30 @@
     lines = context.received.decode().splitlines()
     assert len(lines) == context.count - context.writer.dropped
     assert all(line.split()[1] == "x" * 100 for line in lines)
+
+
+@given("an entry of a node that has no configuration")
+def entry_without_configuration(context):
+    env = context.environment = edge_fixtures.environment()
+    links = LinkPool(env, handler=None, tasks=None)
+    context.entry = Entry(env, links, Gate(env, tasks=None))
+
+
+@when("the node is stopped and a request arrives")
+def request_at_stop(context):
+    board = context.environment.board
+    board.leaving.write(True)
+    board.readiness.write(Readiness(False, "draining"))
+    context.events = []
+
+    async def emit(event):
+        context.events.append(event)
+
+    request = EntryRequest("GET", b"/a", (), b"", internal=False)
+    trio.run(context.entry.serve, request, emit)
+
+
+@then('the request is refused as "{kind}"')
+def request_refused(context, kind):
+    (event,) = context.events
+    assert isinstance(event, ReplyRefused) and event.kind.value == kind, event
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -36,3 +36,8 @@
     Then writing returned and lines were dropped and counted
     When the reader reads everything
     Then all lines that were kept arrive whole
+
+  Scenario: a node that is stopped before it has a configuration refuses with a retry
+    Given an entry of a node that has no configuration
+    When the node is stopped and a request arrives
+    Then the request is refused as "not_ready"
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -165,10 +165,7 @@
             trace.log(environment.log, environment.now_ms())
 
     def _match_route(self, request: EntryRequest) -> BoundRoute:
-        board = self._environment.board
-        readiness = board.readiness.value
-        if not readiness.ready and not board.leaving.value:
-            raise RequestError(ErrorKind.NOT_READY, readiness.reason)
+        self._require_configuration()
         snapshot = self._environment.store.snapshot
         bound = snapshot.match(request.method, request.path, request.host)
         if bound is None:
@@ -181,6 +178,20 @@
             )
         return bound
 
+    def _require_configuration(self) -> None:
+        """Refuses requests of a node that is not ready.
+
+        A node that is leaving still serves, unless it was stopped before it knew a
+        configuration.
+        """
+        environment = self._environment
+        board = environment.board
+        has_version = environment.store.head.version > 0
+        if not board.readiness.value.ready and not (
+            board.leaving.value and has_version
+        ):
+            raise RequestError(ErrorKind.NOT_READY, board.readiness.value.reason)
+
     def _build_call(
         self, request: EntryRequest, bound: BoundRoute, request_id: str
     ) -> Call:
