Serve requests that have just arrived when a node stops

Cause: at the end of the linger time the listeners were closed with connections in their queues, and idle connections with requests that had not been read yet: the kernel resets both.

Change: the node accepts what waits in the queues before it closes the listeners and keeps connections with unread bytes; it ends once their requests are answered, or at the end of the drain time.

--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import socket
 import tempfile
 
 import msgspec
@@ -80,7 +81,7 @@
         await edge_fixtures.wait_until(lambda: len(context.entry.requests) == 2)
         await trio.sleep(0.05)
         context.environment.board.leaving.write(True)
-        edge.stop_accepting()
+        await edge.stop_accepting()
         context.idle = await edge_fixtures.read_to_end(idle)
         await half.send_all(REQUEST[10:])
         context.half = await edge_fixtures.read_to_end(half)
@@ -303,3 +304,42 @@
 def request_refused(context, kind):
     (event,) = context.events
     assert isinstance(event, ReplyRefused) and event.kind.value == kind, event
+
+
+@when(
+    "the edge stops accepting just after {new:d} new connections and {idle:d} idle "
+    "ones sent requests"
+)
+def stops_under_load(context, new, idle):
+    limits = context.environment.settings.limits
+    assert new + idle <= limits.connections
+
+    async def body(edge, address):
+        ip, _, port = address.rpartition(":")
+        streams = [await edge_fixtures.connect(address) for _ in range(idle)]
+        for stream in streams:
+            await stream.send_all(REQUEST)
+            assert b"200" in await stream.receive_some(edge_fixtures.PART_BYTES)
+        await trio.sleep(0.05)
+        context.environment.board.leaving.write(True)
+        # Without the event loop, so that the edge has seen none of it when it stops.
+        sockets = [socket.create_connection((ip, int(port))) for _ in range(new)]
+        sockets += [stream.socket._sock for stream in streams]
+        for sock in sockets:
+            sock.send(REQUEST)
+        await edge.stop_accepting()
+        assert not edge.is_idle
+        for sock in sockets[:new]:
+            sock.setblocking(False)
+            streams.append(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+        context.outcomes = [await edge_fixtures.read_to_end(s) for s in streams]
+        await edge_fixtures.wait_until(lambda: edge.is_idle)
+
+    run_edge(context, body)
+
+
+@then('each of the {count:d} requests is answered whole with "{header}"')
+def each_answered(context, count, header):
+    assert len(context.outcomes) == count
+    for outcome in context.outcomes:
+        assert_whole_and_closing(outcome, header)
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -41,3 +41,8 @@
     Given an entry of a node that has no configuration
     When the node is stopped and a request arrives
     Then the request is refused as "not_ready"
+
+  Scenario: a planned stop under load: requests that have just arrived are answered
+    Given an edge that serves while its node stops
+    When the edge stops accepting just after 5 new connections and 5 idle ones sent requests
+    Then each of the 10 requests is answered whole with "connection: close"
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -1,5 +1,6 @@
 """The entry's HTTP edge: listeners for public and internal callers."""
 
+import dataclasses
 import select
 import typing as t
 
@@ -16,9 +17,25 @@
 from .http_server import HttpRequest
 
 DISCONNECT_SWEEP_MS = 100
+# Accepted at the most while the listeners close, so that a flood cannot delay a stop.
+MAX_PENDING_ACCEPTS = 200
 PLACE = "edge"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Receiving:
+    """A connection whose next request is awaited."""
+
+    http: HttpConnection
+    fd: int
+    scope: trio.CancelScope
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no part of a request has arrived, read or unread."""
+        return self.http.is_idle and not _is_readable(self.fd)
+
+
 class Edge:
     """Turns HTTP requests into entry requests.
 
@@ -33,11 +50,19 @@
         self._environment = environment
         self._entry = entry
         self._running: dict[int, trio.CancelScope] = {}
-        self._receiving: dict[HttpConnection, trio.CancelScope] = {}
+        self._receiving: dict[int, _Receiving] = {}
         self._listening: list[trio.CancelScope] = []
+        self._listener_fds: list[int] = []
         self._stopped = False
         environment.timers.every(DISCONNECT_SWEEP_MS, self._cancel_abandoned)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs or has arrived in part."""
+        return not self._running and all(
+            receiving.is_idle for receiving in self._receiving.values()
+        )
+
     async def serve(self, task_status: trio.TaskStatus[t.Any]) -> None:
         """Listens for callers until cancelled."""
         settings = self._environment.settings
@@ -47,25 +72,35 @@
             task_status.started()
             await trio.sleep_forever()
 
-    def stop_accepting(self) -> None:
-        """Closes the listeners and idle connections; running requests continue."""
+    async def stop_accepting(self) -> None:
+        """Closes the listeners and idle connections.
+
+        Requests that run and those that have arrived, also unread ones, are served.
+        """
+        for _ in range(MAX_PENDING_ACCEPTS):
+            if not any(map(_is_readable, self._listener_fds)):
+                break
+            await trio.lowlevel.checkpoint()
         self._stopped = True
         for scope in self._listening:
             scope.cancel()
-        for http, scope in self._receiving.items():
-            if http.is_idle:
-                scope.cancel()
+        # The connections accepted last start to receive.
+        await trio.lowlevel.checkpoint()
+        for receiving in self._receiving.values():
+            if receiving.is_idle:
+                receiving.scope.cancel()
 
-    async def receive(self, http: HttpConnection) -> HttpRequest | None:
+    async def receive(self, http: HttpConnection, fd: int) -> HttpRequest | None:
         """Returns a connection's next request, or None if there are no more."""
         with trio.CancelScope() as scope:
-            if self._stopped and http.is_idle:
+            receiving = _Receiving(http, fd, scope)
+            if self._stopped and receiving.is_idle:
                 return None
-            self._receiving[http] = scope
+            self._receiving[fd] = receiving
             try:
                 return await http.receive()
             finally:
-                del self._receiving[http]
+                del self._receiving[fd]
         return None
 
     async def _listen(
@@ -76,15 +111,13 @@
         task_status: trio.TaskStatus[t.Any],
     ) -> None:
         ip, _, port = address.rpartition(":")
-        listener = Listener(self, self._environment, internal)
+        accept = Listener(self, self._environment, internal).accept
         with trio.CancelScope() as scope:
+            listeners = await trio.open_tcp_listeners(int(port), host=ip)
             self._listening.append(scope)
-            await trio.serve_tcp(
-                listener.accept,
-                int(port),
-                host=ip,
-                handler_nursery=handlers,
-                task_status=task_status,
+            self._listener_fds += [item.socket.fileno() for item in listeners]
+            await trio.serve_listeners(
+                accept, listeners, handler_nursery=handlers, task_status=task_status
             )
 
     async def serve_request(
@@ -150,6 +183,12 @@
             self._running.pop(fd).cancel()
 
 
+def _is_readable(fd: int) -> bool:
+    poll = select.poll()
+    poll.register(fd, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Listener:
     """Accepts connections on one address and limits their number.
 
@@ -197,7 +236,7 @@
         fd = stream.socket.fileno()
         nested = stream.socket.getpeername()[0] == self._worker_ip
         try:
-            while (request := await self._edge.receive(http)) is not None:
+            while (request := await self._edge.receive(http, fd)) is not None:
                 if not await self._edge.serve_request(
                     http, request, fd, self._internal, nested
                 ):
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -223,11 +223,15 @@
             # With an adapter the node does not announce its stop, so the gate accepts
             # requests until the end of the linger time.
             self.gate.drain()
-            self.edge.stop_accepting()
-            while not (self.gate.is_idle and self.entry.is_idle):
+            await self.edge.stop_accepting()
+            while not self._is_idle:
                 await trio.sleep(0.02)
         environment.log.info("stopped")
 
+    @property
+    def _is_idle(self) -> bool:
+        return self.gate.is_idle and self.entry.is_idle and self.edge.is_idle
+
     async def _reload_on_signal(self, hangups: t.AsyncIterator[int]) -> None:
         async for _ in hangups:
             self.environment.reload_settings("signal")
