Wait until the connections accepted last are being received

Change: the stop waits for the listeners to be closed; the scenario's requests run until it has looked.

--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -326,9 +326,10 @@
         sockets = [socket.create_connection((ip, int(port))) for _ in range(new)]
         sockets += [stream.socket._sock for stream in streams]
         for sock in sockets:
-            sock.send(REQUEST)
+            sock.send(REQUEST.replace(b"/a", b"/slow"))
         await edge.stop_accepting()
         assert not edge.is_idle
+        context.entry.released.set()
         for sock in sockets[:new]:
             sock.setblocking(False)
             streams.append(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -36,6 +36,20 @@
         return self.http.is_idle and not _is_readable(self.fd)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Listening:
+    """The listeners of one address."""
+
+    fds: tuple[int, ...]
+    scope: trio.CancelScope
+    closed: trio.Event
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether connections wait to be accepted."""
+        return any(map(_is_readable, self.fds))
+
+
 class Edge:
     """Turns HTTP requests into entry requests.
 
@@ -51,8 +65,7 @@
         self._entry = entry
         self._running: dict[int, trio.CancelScope] = {}
         self._receiving: dict[int, _Receiving] = {}
-        self._listening: list[trio.CancelScope] = []
-        self._listener_fds: list[int] = []
+        self._listening: list[_Listening] = []
         self._stopped = False
         environment.timers.every(DISCONNECT_SWEEP_MS, self._cancel_abandoned)
 
@@ -78,12 +91,14 @@
         Requests that run and those that have arrived, also unread ones, are served.
         """
         for _ in range(MAX_PENDING_ACCEPTS):
-            if not any(map(_is_readable, self._listener_fds)):
+            if not any(listening.has_pending for listening in self._listening):
                 break
             await trio.lowlevel.checkpoint()
         self._stopped = True
-        for scope in self._listening:
-            scope.cancel()
+        for listening in self._listening:
+            listening.scope.cancel()
+        for listening in self._listening:
+            await listening.closed.wait()
         # The connections accepted last start to receive.
         await trio.lowlevel.checkpoint()
         for receiving in self._receiving.values():
@@ -112,13 +127,15 @@
     ) -> None:
         ip, _, port = address.rpartition(":")
         accept = Listener(self, self._environment, internal).accept
+        listeners = await trio.open_tcp_listeners(int(port), host=ip)
+        fds = tuple(item.socket.fileno() for item in listeners)
         with trio.CancelScope() as scope:
-            listeners = await trio.open_tcp_listeners(int(port), host=ip)
-            self._listening.append(scope)
-            self._listener_fds += [item.socket.fileno() for item in listeners]
+            listening = _Listening(fds, scope, trio.Event())
+            self._listening.append(listening)
             await trio.serve_listeners(
                 accept, listeners, handler_nursery=handlers, task_status=task_status
             )
+        listening.closed.set()
 
     async def serve_request(
         self,
