Keep work that cannot be repeated at a node that is only silent

Cause: a link whose peer sent nothing for 1.2 s was closed at both ends. A request that may run only once was then given up with 502 although its worker still ran it, and a gate cancelled what it ran for an entry that was frozen or slow.

Change: a silent peer gets no new requests. Requests that another node may run are given up as before, and cancelled at the peer; the others wait for their deadline, and a gate lets its work go on. A peer that is silent for 6 s is given up as dead. Exchanges have a module of their own, and the fixtures for links theirs.

--- a/features/steps/edge_links.py
+++ b/features/steps/edge_links.py
@@ -13,94 +13,24 @@
 from behave import then
 from behave import when
 from cactushook import ErrorKind
-from cactushook import Load
 from cactushook import WireError
 from cactushook_node import wire
 from cactushook_node.http_messages import ReplyChunk
 from cactushook_node.http_messages import ReplyRefused
-from cactushook_node.links import Link
 from hypothesis import strategies as st
 
 from features import edge_fixtures
+from features import link_fixtures
 
 REQUESTS = 60
 BODY = bytes(100_000)
 PAYLOADS = 10_000
 MAX_DECODE_S = 2.0
 MAX_DECODE_BYTES = 32_000_000
-ANSWER_CHUNKS = 1_024
 TICK_MS = 500
 IDLE_MS = 31_000
 
 
-class Handler:
-    """Handles the messages and requests that a link receives, as scripted."""
-
-    def __init__(self, link_failure=None):
-        self.link_failure = link_failure
-        self.calls = 0
-        self.sent_chunks = 0
-
-    async def on_hello(self, link, hello):
-        pass
-
-    async def on_control_message(self, link, message):
-        wire.control_from_message(message)
-
-    async def on_call(self, link, call):
-        self.calls += 1
-        if call.method == "FAIL":
-            raise ValueError("seeded")
-        if call.method == "HANG":
-            await trio.sleep_forever()
-        if call.method == "LARGE":
-            await self._stream(link, call.stream_id)
-            return
-        await link.send(reply(call.stream_id, call.body, True))
-
-    async def _stream(self, link, stream_id):
-        await link.send(reply(stream_id, b"", False))
-        for index in range(ANSWER_CHUNKS):
-            await link.acquire_credit(stream_id)
-            last = index == ANSWER_CHUNKS - 1
-            self.sent_chunks += 1
-            chunk = wire.ChunkMessage(stream_id, bytes(wire.CHUNK_BYTES), last)
-            await link.send(chunk)
-
-
-def call(stream_id, method="GET", body=b""):
-    return wire.CallMessage(
-        stream_id=stream_id,
-        request_id="r",
-        service_name="reports",
-        route_class="idempotent",
-        method=method,
-        target=b"/",
-        headers=[],
-        body=body,
-        timeout_ms=1_000,
-        version=1,
-        attempts_left=1,
-        hops=1,
-        key="",
-        key_issued_ms=0,
-        resend_window_ms=0,
-        fingerprint="",
-        fences=[],
-    )
-
-
-def reply(stream_id, body=b"", last=True):
-    return wire.ReplyMessage(
-        stream_id=stream_id,
-        status=200,
-        headers=[],
-        body=body,
-        last=last,
-        load=wire.load_to_message(Load()),
-    )
-
-
 def to_frame(payload):
     checksum = xxhash.xxh32_intdigest(payload)
     return struct.pack("!II", len(payload), checksum) + payload
@@ -111,18 +41,20 @@
 
 
 def _wrong_checksum():
-    frame = bytearray(wire.encode(call(1)))
+    frame = bytearray(wire.encode(link_fixtures.call(1)))
     frame[-3] ^= 1
     return bytes(frame)
 
 
 def _two_messages():
-    both = encode_payload(call(1))[:-1] + encode_payload(wire.CancelMessage(1))
+    both = encode_payload(link_fixtures.call(1))[:-1] + encode_payload(
+        wire.CancelMessage(1)
+    )
     return to_frame(both)
 
 
 def _missing_field():
-    message = call(1)
+    message = link_fixtures.call(1)
     message.target = None
     return wire.encode(message)
 
@@ -137,14 +69,16 @@
     return to_frame(field_header + levels * b"\x0f\x00\x00\x00\x01" + stop)
 
 
-HANG = wire.encode(call(1, "HANG"))
+HANG = wire.encode(link_fixtures.call(1, "HANG"))
 FAULTS = {
     "a frame whose checksum is wrong": _wrong_checksum(),
     "a frame that is longer than the limit": struct.pack("!II", 200_001, 0),
     "an unknown message": to_frame(b"\x0c\x03\xe7\x00\x00"),
     "two messages in one frame": _two_messages(),
     "a message without a required field": _missing_field(),
-    "a truncated message": to_frame(encode_payload(call(1, body=b"x" * 99))[:-50]),
+    "a truncated message": to_frame(
+        encode_payload(link_fixtures.call(1, body=b"x" * 99))[:-50]
+    ),
     "two requests with the same stream id": HANG + HANG,
     "credit beyond the limit": HANG + wire.encode(wire.CreditMessage(1, 8)),
     "an unknown host state": _unknown_host_state(),
@@ -158,44 +92,32 @@
     context.peer_environment = edge_fixtures.environment()
 
 
-def _start(nursery, environment, stream, handler):
-    link = Link(environment, stream, handler)
-    nursery.start_soon(link.run)
-    return link
-
-
-def _run(body):
-    async def main():
-        async with trio.open_nursery() as nursery:
-            with trio.fail_after(edge_fixtures.WAIT_LIMIT_S):
-                await body(nursery)
-            nursery.cancel_scope.cancel()
-
-    trio.run(main)
-
-
 @when("the peer sends {fault}")
 def peer_sends(context, fault):
     async def body(nursery):
         near, far = trio.testing.memory_stream_pair()
-        link = _start(nursery, context.environment, near, Handler())
+        link = link_fixtures.start(
+            nursery, context.environment, near, link_fixtures.Handler()
+        )
         await far.send_all(FAULTS[fault])
         await edge_fixtures.wait_until(lambda: link.closed)
         context.next_answer = await _request_on_new_link(nursery, context.environment)
 
-    _run(body)
+    link_fixtures.run(body)
 
 
 async def _request_on_new_link(nursery, environment):
     near, far = trio.testing.memory_stream_pair()
-    _start(nursery, environment, near, Handler())
-    requester = _start(nursery, edge_fixtures.environment(), far, Handler())
+    link_fixtures.start(nursery, environment, near, link_fixtures.Handler())
+    requester = link_fixtures.start(
+        nursery, edge_fixtures.environment(), far, link_fixtures.Handler()
+    )
     return await _request(requester, body=b"again")
 
 
 async def _request(link, method="GET", body=b""):
     exchange = link.open_exchange()
-    await link.send(call(exchange.stream_id, method, body))
+    await link.send(link_fixtures.call(exchange.stream_id, method, body))
     event = await anext(exchange.events)
     exchange.close()
     return event
@@ -225,12 +147,14 @@
 def _with_gate(context, body):
     async def run(nursery):
         near, far = trio.testing.memory_stream_pair()
-        link = _start(nursery, context.environment, near, Handler())
+        link = link_fixtures.start(
+            nursery, context.environment, near, link_fixtures.Handler()
+        )
         exchange = link.open_exchange()
-        await link.send(call(exchange.stream_id))
+        await link.send(link_fixtures.call(exchange.stream_id))
         await body(link, exchange, far)
 
-    _run(run)
+    link_fixtures.run(run)
 
 
 async def _collect(context, exchange):
@@ -245,9 +169,15 @@
 def gate_answers(context, fault):
     chunk = wire.ChunkMessage(1, b"x", False)
     messages = {
-        "more chunks than it has credit for": [reply(1, last=False), *[chunk] * 30],
+        "more chunks than it has credit for": [
+            link_fixtures.reply(1, last=False),
+            *[chunk] * 30,
+        ],
         "a chunk before the start": [chunk],
-        "two starts": [reply(1, last=False), reply(1, last=False)],
+        "two starts": [
+            link_fixtures.reply(1, last=False),
+            link_fixtures.reply(1, last=False),
+        ],
     }[fault]
 
     async def body(link, exchange, far):
@@ -274,7 +204,10 @@
     async def body(link, exchange, far):
         exchange.close()
         other = link.open_exchange()
-        late_answer, answer = reply(exchange.stream_id, b"late"), reply(2, b"own")
+        late_answer, answer = (
+            link_fixtures.reply(exchange.stream_id, b"late"),
+            link_fixtures.reply(2, b"own"),
+        )
         await far.send_all(wire.encode(late_answer) + wire.encode(answer))
         await _collect(context, other)
 
@@ -327,7 +260,7 @@
                     await far.send_all(wire.encode(wire.PingMessage(True)))
             await trio.testing.wait_all_tasks_blocked()
         assert pings >= 19, pings
-        await far.send_all(wire.encode(reply(1, b"own")))
+        await far.send_all(wire.encode(link_fixtures.reply(1, b"own")))
         await _collect(context, exchange)
 
     _with_gate(context, body)
@@ -341,12 +274,16 @@
 def _with_two(context, body):
     async def run(nursery):
         near, far = trio.testing.memory_stream_pair()
-        context.handlers = [Handler(), Handler()]
-        first = _start(nursery, context.environment, near, context.handlers[0])
-        second = _start(nursery, context.peer_environment, far, context.handlers[1])
+        context.handlers = [link_fixtures.Handler(), link_fixtures.Handler()]
+        first = link_fixtures.start(
+            nursery, context.environment, near, context.handlers[0]
+        )
+        second = link_fixtures.start(
+            nursery, context.peer_environment, far, context.handlers[1]
+        )
         await body(first, second)
 
-    _run(run)
+    link_fixtures.run(run)
 
 
 @when("a request at the other node fails unexpectedly")
@@ -397,7 +334,7 @@
 
     async def body(first, second):
         exchange = first.open_exchange()
-        await first.send(call(exchange.stream_id, "LARGE"))
+        await first.send(link_fixtures.call(exchange.stream_id, "LARGE"))
         read = 0
         async for event in exchange.events:
             await trio.testing.wait_all_tasks_blocked()
@@ -415,7 +352,7 @@
 
 @then("the chunks in flight never exceed the credit")
 def bounded(context):
-    assert context.read_chunks == ANSWER_CHUNKS, context.read_chunks
+    assert context.read_chunks == link_fixtures.ANSWER_CHUNKS, context.read_chunks
     # A chunk counts as sent only once it has acquired its credit.
     assert context.max_in_flight <= wire.INITIAL_CREDIT_CHUNKS, context.max_in_flight
 
@@ -423,8 +360,8 @@
 def _damaged(rng):
     message = rng.choice(
         [
-            call(1, body=b"x" * 50),
-            reply(1, b"y" * 50),
+            link_fixtures.call(1, body=b"x" * 50),
+            link_fixtures.reply(1, b"y" * 50),
             wire.HostsMessage(
                 [wire.HostEntry("a", "b", "c", "d", "e", "live", 1)] * 3, False
             ),
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -360,12 +360,14 @@
     ) -> None:
         """Sends a call to another host's gate and forwards the answer."""
         link = await self._links.get(step.host.address)
-        exchange = link.open_exchange()
+        call = step.call
+        is_repeatable = (
+            call.route_class is RouteClass.IDEMPOTENT and call.attempts_left > 1
+        )
+        exchange = link.open_exchange(is_repeatable)
         now_ms = self._environment.now_ms()
         try:
-            await link.send(
-                call_to_message(exchange.stream_id, step.call, request, now_ms)
-            )
+            await link.send(call_to_message(exchange.stream_id, call, request, now_ms))
             async for event in exchange.events:
                 await forwarder.emit(event)
                 if isinstance(event, ReplyRefused) or event.last:
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -1,6 +1,5 @@
 """Connections between nodes, each of which carries many requests at once."""
 
-import contextlib
 import itertools
 import typing as t
 
@@ -11,6 +10,7 @@
 
 from . import wire
 from .environment import Environment
+from .exchanges import Exchange
 from .http_messages import ReplyChunk
 from .http_messages import ReplyEvent
 from .http_messages import ReplyRefused
@@ -21,9 +21,6 @@
 SEND_BUFFER_BYTES = 1_048_576
 WRITE_BYTES = 262_144
 RECEIVE_BYTES = 65_536
-# The start of an answer and a refusal at its end use no credit.
-REPLY_QUEUE_EVENTS = wire.INITIAL_CREDIT_CHUNKS + 2
-CREDIT_BATCH_CHUNKS = 8
 WATCH_PERIOD_MS = 300
 IDLE_LIMIT_MS = 30_000
 PLACE = "link"
@@ -42,69 +39,6 @@
         """Handles a control message."""
 
 
-class Exchange:
-    """One request on a link, at the entry's side.
-
-    Attributes:
-        stream_id: number of the request on its link.
-        events: the answer's events, in order.
-    """
-
-    def __init__(self, link: "Link", stream_id: int) -> None:
-        self._link = link
-        self.stream_id = stream_id
-        self._send, self.events = trio.open_memory_channel[ReplyEvent](
-            REPLY_QUEUE_EVENTS
-        )
-        self._started = False
-        self._ended = False
-        # The start of the answer uses no credit.
-        self._consumed_chunks = -1
-
-    def deliver(self, event: ReplyEvent) -> None:
-        """Queues an event that arrived on the link.
-
-        Raises:
-            WireError: the event is out of order or exceeds the credit.
-        """
-        is_start = isinstance(event, ReplyStart)
-        in_order = isinstance(event, ReplyRefused) or is_start is not self._started
-        if self._ended or not in_order:
-            raise WireError(ErrorKind.FRAME_INVALID, "an answer is out of order")
-        self._started = True
-        self._ended = isinstance(event, ReplyRefused) or event.last
-        try:
-            self._send.send_nowait(event)
-        except trio.WouldBlock as error:
-            raise WireError(
-                ErrorKind.CREDIT_OVERRUN, "more chunks arrived than credit allows"
-            ) from error
-        except trio.BrokenResourceError:
-            return
-
-    def fail(self, kind: ErrorKind, detail: str) -> None:
-        """Ends the exchange because its link has closed."""
-        if not self._ended:
-            self._ended = True
-            with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
-                self._send.send_nowait(ReplyRefused(kind, detail))
-        self._send.close()
-
-    def on_event_consumed(self) -> None:
-        """Records that an event was forwarded; grants credit in batches."""
-        self._consumed_chunks += 1
-        if self._ended or self._consumed_chunks < CREDIT_BATCH_CHUNKS:
-            return
-        self._consumed_chunks -= CREDIT_BATCH_CHUNKS
-        self._link.send_soon(wire.CreditMessage(self.stream_id, CREDIT_BATCH_CHUNKS))
-
-    def close(self) -> None:
-        """Removes the exchange; cancels the request if it still runs."""
-        self._link.remove_exchange(self.stream_id)
-        if not self._ended:
-            self._link.send_soon(wire.CancelMessage(self.stream_id))
-
-
 class Link:
     """One connection to another node.
 
@@ -112,7 +46,9 @@
     that two nodes cannot deadlock.
 
     A link that was idle for ``IDLE_LIMIT_MS`` is retired: before the connection closes,
-    each side announces that it sends no further requests, so that none is lost.
+    each side announces that it sends no further requests, so that none is lost. A link
+    to a silent peer is retired too, but kept for the answers to work that cannot be
+    repeated.
 
     Args:
         environment: the node's central object.
@@ -171,9 +107,9 @@
         self._count("out", message, len(frame))
         return True
 
-    def open_exchange(self) -> Exchange:
+    def open_exchange(self, is_repeatable: bool = True) -> Exchange:
         """Returns the exchange for a new request."""
-        exchange = Exchange(self, next(self._stream_ids))
+        exchange = Exchange(self, next(self._stream_ids), is_repeatable)
         self._exchanges[exchange.stream_id] = exchange
         return exchange
 
@@ -237,7 +173,7 @@
         self.environment.log.warning("link_failed", reason=repr(group.exceptions))
 
     def _on_tick(self, now_ms: float) -> None:
-        """Aborts a link whose peer sends or reads nothing for too long."""
+        """Checks whether the peer responds and whether the link is idle."""
         liveness = self._liveness.tick(
             has_open_requests=bool(self._exchanges or self._scopes),
             has_unsent_frames=bool(self._outgoing),
@@ -245,11 +181,28 @@
         match liveness:
             case Liveness.SUSPECT:
                 self.send_soon(wire.PingMessage(False))
+            case Liveness.SILENT:
+                self._on_silence()
             case Liveness.DEAD:
                 self.abort("peer_unresponsive")
             case Liveness.ALIVE:
                 self._end_if_idle(now_ms)
 
+    def _on_silence(self) -> None:
+        """Gives up the requests that another node can run.
+
+        Work that cannot be repeated, and the work that runs here for the peer, keep the
+        connection: the peer may only be slow.
+        """
+        if not self.retired:
+            self.environment.log.warning("peer_silent")
+            self._retire(answer=False)
+        for exchange in list(self._exchanges.values()):
+            if exchange.is_repeatable and not exchange.has_started:
+                exchange.give_up("the node is silent")
+        if not (self._exchanges or self._scopes):
+            self.abort("peer_unresponsive")
+
     def _end_if_idle(self, now_ms: float) -> None:
         if self._exchanges or self._scopes or self._outgoing:
             return
--- a/packages/cactushook-node/src/cactushook_node/liveness.py
+++ b/packages/cactushook-node/src/cactushook_node/liveness.py
@@ -4,13 +4,20 @@
 
 SILENT_TICKS_LIMIT = 3
 STUCK_TICKS_LIMIT = 6
+# A peer that is silent for longer is given up with all requests.
+DEAD_TICKS_LIMIT = 20
 
 
 class Liveness(enum.Enum):
-    """State of the peer after a tick."""
+    """State of the peer after a tick.
+
+    A peer that is ``SILENT`` gets no new requests, but may wake and answer those that
+    it has.
+    """
 
     ALIVE = "alive"
     SUSPECT = "suspect"
+    SILENT = "silent"
     DEAD = "dead"
 
 
@@ -43,8 +50,11 @@
         """
         self._stuck_ticks = self._stuck_ticks + 1 if has_unsent_frames else 0
         self._silent_ticks = self._silent_ticks + 1 if has_open_requests else 0
-        if self._silent_ticks > SILENT_TICKS_LIMIT:
-            return Liveness.DEAD
-        if self._stuck_ticks > STUCK_TICKS_LIMIT:
+        if max(self._silent_ticks, self._stuck_ticks) > DEAD_TICKS_LIMIT:
             return Liveness.DEAD
+        if (
+            self._silent_ticks > SILENT_TICKS_LIMIT
+            or self._stuck_ticks > STUCK_TICKS_LIMIT
+        ):
+            return Liveness.SILENT
         return Liveness.SUSPECT if self._silent_ticks else Liveness.ALIVE
