--- a/packages/cactushook/src/cactushook/nodes.py
+++ b/packages/cactushook/src/cactushook/nodes.py
@@ -9,6 +9,8 @@
 RoutePath = t.Annotated[str, msgspec.Meta(pattern=r"^/[!-~]*$", max_length=512)]
 Method = t.Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 Slots = t.Annotated[int, msgspec.Meta(ge=1, le=10_000)]
+MIN_RATE_PER_S = 0.1
+RatePerS = t.Annotated[float, msgspec.Meta(ge=MIN_RATE_PER_S, le=10_000)]
 QueueLength = t.Annotated[int, msgspec.Meta(ge=0, le=100_000)]
 Attempts = t.Annotated[int, msgspec.Meta(ge=1, le=5)]
 Weight = t.Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
@@ -57,7 +59,7 @@
     queue_length: QueueLength = 50
     queue_timeout_ms: TimeoutMs = 500
     ramp_ms: TimeoutMs = 10_000
-    cold_requests_per_s: Slots | None = None
+    cold_requests_per_s: RatePerS | None = None
 
 
 class SplitPart(Config, kw_only=True):
