--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -94,11 +94,15 @@
             from the list during an outage of the platform is treated as live for 0.8
             times as long after the outage.
         cold_ms: how long a backend server that may have restarted is treated as cold.
+        cold_overage: times its usual cold rate that a cold backend server may get.
+        cold_slack_per_s: requests per second that it may get in addition.
     """
 
     module: t.Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9_.]*$")]
     drain_ms: TimeoutMs = 2_000
     cold_ms: TimeoutMs = 3_000
+    cold_overage: t.Annotated[float, msgspec.Meta(ge=1, le=100)] = 1.0
+    cold_slack_per_s: t.Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 0.0
 
 
 class PlatformSettings(Config, kw_only=True):
