Tell refused callers when the node is ready or the worker warm

Cause: a node without a configuration refused without a retry time, and callers that may return once returned at once and were refused again. A cold worker's gate advised the wait of its queue, although more than it can take comes until it is warm. The advice was also cut to a share of the route's time, where the caller waits longer.

Change: a node that starts advises 1 s; a cold worker's gate advises the time until it is warm; both are cut to a quarter of the caller's own remaining time, spread by 0.3, so that the caller still honours them.

--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -36,6 +36,11 @@
     Then in no second are more than 18 sent to the worker
     And after that all are admitted at once
 
+  Scenario: power lost by all: what a cold worker cannot take returns when it is warm
+    Given a gate with 3 slots in front of a worker that is cold for 3000 ms and handles 4 requests a second
+    When 20 requests a second that take 5 ms arrive for 3 s
+    Then each request that was refused is told to return when the worker is warm
+
   Scenario: a worker that may have restarted unnoticed is treated as cold until it reports otherwise
     Given a gate with 9 slots in front of a warm worker that handles 16 requests a second when cold
     When the worker accepts connections again after it refused them
--- a/features/steps/overload_patterns.py
+++ b/features/steps/overload_patterns.py
@@ -278,6 +278,18 @@
         assert len(within) <= count, (start_ms, len(within))
 
 
+@then("each request that was refused is told to return when the worker is warm")
+def returns_warm(context):
+    refused = [
+        (at_ms, refusal)
+        for at_ms, refusal in context.load.refused.values()
+        if refusal.kind is ErrorKind.COLD_START
+    ]
+    assert len(refused) > 10
+    for at_ms, refusal in refused:
+        assert at_ms + refusal.retry_after_ms >= START_MS + 3_000, (at_ms, refusal)
+
+
 @then("after that all are admitted at once")
 def warm_again(context):
     load = context.load
--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -300,6 +300,33 @@
     trio.run(context.entry.serve, request, emit)
 
 
+@when("requests arrive whose callers wait {timeout_ms:d} ms")
+def requests_at_start(context, timeout_ms):
+    context.events = []
+
+    async def emit(event):
+        context.events.append(event)
+
+    async def serve_all():
+        name = context.environment.headers.timeout_ms
+        headers = ((name, str(timeout_ms).encode()),)
+        request = EntryRequest("GET", b"/a", headers, b"", internal=False)
+        for _ in range(50):
+            await context.entry.serve(request, emit)
+
+    trio.run(serve_all)
+
+
+@then(
+    'each is refused as "{kind}", with a retry time of {least_ms:d} to {most_ms:d} ms'
+)
+def refused_with_retry(context, kind, least_ms, most_ms):
+    assert len(context.events) == 50
+    for event in context.events:
+        assert isinstance(event, ReplyRefused) and event.kind.value == kind, event
+        assert least_ms <= event.retry_after_ms <= most_ms, event
+
+
 @then('the request is refused as "{kind}"')
 def request_refused(context, kind):
     (event,) = context.events
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -42,6 +42,11 @@
     When the node is stopped and a request arrives
     Then the request is refused as "not_ready"
 
+  Scenario: a node that starts tells callers to return within a third of their time
+    Given an entry of a node that has no configuration
+    When requests arrive whose callers wait 2000 ms
+    Then each is refused as "not_ready", with a retry time of 350 to 650 ms
+
   Scenario: a planned stop under load: requests that have just arrived are answered
     Given an edge that serves while its node stops
     When the edge stops accepting just after 5 new connections and 5 idle ones sent requests
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -41,6 +41,8 @@
 from .trace import Trace
 
 MIN_RETRY_AFTER_MS = 100
+# Retry delay advised by a node that has no configuration yet.
+START_RETRY_AFTER_MS = 1_000
 # Share of a caller's remaining time. With the random spread of up to 1.3, the caller
 # waits for at most a third of that time.
 RETRY_AFTER_SHARE = 0.25
@@ -132,6 +134,7 @@
         trace = Trace(request_id, environment.now_ms())
         self._serving_count += 1
         try:
+            self._record_caller_timeout(request, trace)
             bound = self._match_route(request)
             call = self._build_call(request, bound, request_id)
             trace.record_route(bound, call)
@@ -164,6 +167,11 @@
                 self._gate.on_nested_call_failed()
             trace.log(environment.log, environment.now_ms())
 
+    def _record_caller_timeout(self, request: EntryRequest, trace: Trace) -> None:
+        name = self._environment.headers.timeout_ms
+        if request.header(name):
+            trace.record_caller_timeout(_parse_number(request, name, 0))
+
     def _match_route(self, request: EntryRequest) -> BoundRoute:
         self._require_configuration()
         snapshot = self._environment.store.snapshot
@@ -190,7 +198,13 @@
         if not board.readiness.value.ready and not (
             board.leaving.value and has_version
         ):
-            raise RequestError(ErrorKind.NOT_READY, board.readiness.value.reason)
+            raise RefusedError(
+                Refusal(
+                    ErrorKind.NOT_READY,
+                    board.readiness.value.reason,
+                    retry_after_ms=START_RETRY_AFTER_MS,
+                )
+            )
 
     def _build_call(
         self, request: EntryRequest, bound: BoundRoute, request_id: str
--- a/packages/cactushook-node/src/cactushook_node/trace.py
+++ b/packages/cactushook-node/src/cactushook_node/trace.py
@@ -26,8 +26,13 @@
         self._service = ""
         self._version = 0
         self._deadline_ms = 0.0
+        self._caller_deadline_ms: float | None = None
         self._attempts: list[str] = []
 
+    def record_caller_timeout(self, timeout_ms: float) -> None:
+        """Records how long the caller waits, which may be longer than the route."""
+        self._caller_deadline_ms = self._started_ms + timeout_ms
+
     def record_route(self, bound: BoundRoute, call: Call) -> None:
         """Records the request's route, service, configuration version and deadline."""
         self.route = bound.route.path
@@ -41,8 +46,14 @@
         self._attempts.append(f"{host}:{kind}")
 
     def remaining_ms(self, now_ms: float) -> float:
-        """Returns the time until the request's deadline, at least 0."""
-        return max(0.0, self._deadline_ms - now_ms)
+        """Returns the time until the caller stops waiting, at least 0.
+
+        If the caller did not say how long it waits, the request's deadline counts.
+        """
+        deadline_ms = self._caller_deadline_ms
+        if deadline_ms is None:
+            deadline_ms = self._deadline_ms
+        return max(0.0, deadline_ms - now_ms)
 
     def log(self, log: EventLog, now_ms: float) -> None:
         """Writes the line."""
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -210,10 +210,7 @@
         until_ms = min(until_ms, latest_start_ms + self._service_ms)
         if now_ms + wait_ms > min(until_ms, latest_start_ms):
             detail = "no slot is expected to become free in time"
-            refusal = Refusal(
-                self._full_kind(now_ms), detail, retry_after_ms=round(wait_ms)
-            )
-            return [Refused(call, refusal)]
+            return [Refused(call, self._refusal(detail, wait_ms, now_ms))]
         shed: list[Verdict] = []
         if len(self._queue) >= self.limits.queue_length:
             displaced = self._find_displaced(call)
@@ -281,24 +278,21 @@
         return None
 
     def _busy_refusal(self, call: Call, now_ms: float) -> Refusal:
-        return Refusal(
-            self._full_kind(now_ms),
-            "no slot is free",
-            retry_after_ms=round(self._expected_wait_ms(call, now_ms)),
-        )
+        wait_ms = self._expected_wait_ms(call, now_ms)
+        return self._refusal("no slot is free", wait_ms, now_ms)
 
     def _full_refusal(self, now_ms: float) -> Refusal:
         wait_ms = self.ramp.wait_ms(len(self._queue), self._service_ms, now_ms)
+        return self._refusal("all slots and the queue are full", wait_ms, now_ms)
+
+    def _refusal(self, detail: str, wait_ms: float, now_ms: float) -> Refusal:
+        is_cold = self.ramp.is_cold(now_ms)
         return Refusal(
-            self._full_kind(now_ms),
-            "all slots and the queue are full",
-            retry_after_ms=round(wait_ms),
+            ErrorKind.COLD_START if is_cold else ErrorKind.OVERLOADED,
+            detail,
+            retry_after_ms=round(self.ramp.retry_after_ms(wait_ms, now_ms)),
         )
 
-    def _full_kind(self, now_ms: float) -> ErrorKind:
-        cold = self.ramp.is_cold(now_ms)
-        return ErrorKind.COLD_START if cold else ErrorKind.OVERLOADED
-
 
 def _serving_order(item: Queued) -> tuple[bool, int, int]:
     """Returns the sort key of a waiting request; ties keep the queue's order."""
--- a/packages/cactushook/src/cactushook/ramp.py
+++ b/packages/cactushook/src/cactushook/ramp.py
@@ -48,6 +48,10 @@
         """Returns how long a request is expected to wait behind ``ahead`` requests."""
         return ahead * service_ms / self.capacity(now_ms)
 
+    def retry_after_ms(self, wait_ms: float, now_ms: float) -> float:
+        """Returns when a refused request should return; ``wait_ms`` is the queue's."""
+        return wait_ms
+
     def is_cold(self, now_ms: float) -> bool:
         """Returns whether the ramp is still running."""
         return self.capacity(now_ms) < self._slots
@@ -101,6 +105,13 @@
             return ahead / self._per_s * 1_000
         return ahead * service_ms / self._slots
 
+    def retry_after_ms(self, wait_ms: float, now_ms: float) -> float:
+        """Returns when a refused request should return; ``wait_ms`` is the queue's.
+
+        More requests than a cold worker can handle come until it is warm.
+        """
+        return max(wait_ms, self._cold_until_ms - now_ms)
+
     def is_cold(self, now_ms: float) -> bool:
         """Returns whether the worker is still cold."""
         return now_ms < self._cold_until_ms
