--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -19,12 +19,6 @@
     Then it is queued while no other request waits
     And it is refused behind 3 waiting requests
 
-  Scenario: a nested call past its objective may wait as long as its parent can use it
-    Given a gate with 1 slots whose answers take 100 ms
-    When a request runs and 5 nested ones wait, each with an objective of 200 ms and 1000 ms left
-    Then all nested ones are answered within 1000 ms
-    And a nested one with 50 ms left is refused at once
-
   Scenario: nested calls of running requests go before new requests
     Given a gate with 1 slots whose answers take 100 ms
     When a request runs, and requests of priority 0 and 1 and a nested one wait
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -239,14 +239,10 @@
         """Returns when a request must start at the latest to meet its objective.
 
         A request that can no longer meet it may use the remaining room: it may wait
-        for `LATE_WAIT_SHARE` of the time that its run leaves before the deadline. A
-        nested request may wait for all of it, since without its answer the work of its
-        parent is lost.
+        for `LATE_WAIT_SHARE` of the time that its run leaves before the deadline.
         """
         if call.objective_ms == math.inf:
             return math.inf
-        if call.nested:
-            return call.deadline_ms - self._service_ms
         start_ms = call.objective_ms - self._service_ms
         if start_ms > now_ms:
             return start_ms
