Refuse a waiting request while its caller can still be told

Cause: a request whose deadline came before its objective waited until the deadline behind nested requests that kept arriving, and ended with 504 although it had never been sent to a worker; its caller could not know.

Change: a request leaves the queue once its run can no longer end before the deadline, with a refusal that says when to return.

--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -19,6 +19,11 @@
     Then it is queued while no other request waits
     And it is refused behind 3 waiting requests
 
+  Scenario: one worker is left: a request that waits behind others is refused while it can still be told
+    Given a gate with 1 slots whose answers take 100 ms
+    When a request with an objective of 400 ms and 300 ms left waits, and nested ones keep arriving
+    Then it is refused as "queue_timeout" between 150 and 210 ms after its arrival
+
   Scenario: nested calls of running requests go before new requests
     Given a gate with 1 slots whose answers take 100 ms
     When a request runs, and requests of priority 0 and 1 and a nested one wait
--- a/features/steps/overload_patterns.py
+++ b/features/steps/overload_patterns.py
@@ -199,6 +199,32 @@
     assert isinstance(context.load.offer(**context.late), Refused)
 
 
+@when(
+    "a request with an objective of {objective_ms:d} ms and {left_ms:d} ms left waits, "
+    "and nested ones keep arriving"
+)
+def starved(context, objective_ms, left_ms):
+    load = context.load
+    load.offer()
+    context.starved = load.offer(objective_ms=objective_ms, left_ms=left_ms)
+    assert isinstance(context.starved, Queued), context.starved
+    for _ in range(20):
+        load.offer(nested=True)
+        load.advance(load.now_ms + 50)
+
+
+@then(
+    'it is refused as "{kind}" between {least_ms:d} and {most_ms:d} ms after its '
+    "arrival"
+)
+def starved_refused(context, kind, least_ms, most_ms):
+    load = context.load
+    name = context.starved.call.request_id
+    refused_ms, refusal = load.refused[name]
+    assert refusal.kind.value == kind, refusal
+    assert least_ms <= refused_ms - load.arrived_ms[name] <= most_ms
+
+
 @when("a request runs, and requests of priority 0 and 1 and a nested one wait")
 def three_wait(context):
     load = context.load
--- a/packages/cactushook/src/cactushook/admission.py
+++ b/packages/cactushook/src/cactushook/admission.py
@@ -203,11 +203,15 @@
         return verdicts
 
     def _enqueue(self, call: Call, now_ms: float) -> list[Verdict]:
-        until_ms = min(call.deadline_ms, now_ms + self.limits.queue_timeout_ms)
         wait_ms = self._expected_wait_ms(call, now_ms)
         latest_start_ms = self._latest_start_ms(call, now_ms)
-        # The wait is an estimate: a queued request may start one service time late.
-        until_ms = min(until_ms, latest_start_ms + self._service_ms)
+        # The wait is an estimate: a queued request may start one service time late, but
+        # not so late that it cannot end. Its refusal reaches the caller in time.
+        until_ms = min(
+            now_ms + self.limits.queue_timeout_ms,
+            latest_start_ms + self._service_ms,
+            call.deadline_ms - self._service_ms,
+        )
         if now_ms + wait_ms > min(until_ms, latest_start_ms):
             detail = "no slot is expected to become free in time"
             return [Refused(call, self._refusal(detail, wait_ms, now_ms))]
