Show that an earlier rejection, written once more, refuses no other request

Cause: another operator's report: a faulty worker wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that ran. One scenario covered the plain copy.

Change: copies in two pieces, without an id, twice, with 'Connection: close' and without a length, each while the next request runs. It cannot happen here: answers are matched by id, and what does not end counts as 'may have run'.

--- a/features/steps/worker_protocol.py
+++ b/features/steps/worker_protocol.py
@@ -26,6 +26,7 @@
 )
 SIGNED = "Signature: s"
 REJECTED = "Not-Executed: 1"
+PIECE_GAP_S = 0.01
 OK = "200 OK"
 FULL = "503 Full"
 
@@ -96,6 +97,11 @@
 CLOSE_AFTER_ANSWER = ("for another request only", "a rejection of another request")
 
 
+def as_pieces(script_output):
+    """Returns what a script gave as the pieces that are sent one by one."""
+    return [script_output] if isinstance(script_output, bytes) else script_output
+
+
 class Backend:
     """A backend server that reads whole requests and answers from a script."""
 
@@ -116,7 +122,9 @@
 
     async def _serve(self, http, stream):
         while (request_id := await self._request(http, stream)) is not None:
-            await stream.send_all(self.script(request_id))
+            for piece in as_pieces(self.script(request_id)):
+                await stream.send_all(piece)
+                await trio.sleep(PIECE_GAP_S)
             if self.filler is not None:
                 await self._fill(stream)
             if self.ending:
@@ -312,6 +320,49 @@
     context.backend = Backend(script)
 
 
+REPEATS = {
+    "in two pieces": lambda own: [rejection(own)[:30], rejection(own)[30:]],
+    "without an id": lambda own: [rejection(own).replace(b"Request-Id", b"Other", 1)],
+    "twice": lambda own: [rejection(own), rejection(own)],
+    'with "Connection: close"': lambda own: [
+        answer(own, REJECTED, "Connection: close", status=FULL)
+    ],
+    "without a length": lambda own: [rejection(own)[:30] + b"\r\n\r\n"],
+}
+
+
+def rejection(own):
+    return answer(own, REJECTED, status=FULL)
+
+
+@given("a backend server that repeats each rejection {how}")
+def repeats_rejections_as(context, how):
+    previous = []
+    context.ran = []
+
+    def script(own):
+        late = REPEATS[how](previous.pop()) if previous else []
+        if int(own[1:]) % 2:
+            context.ran.append(int(own[1:]))
+            return [*late, answer(own, SIGNED)]
+        previous.append(own)
+        return [*late, rejection(own)]
+
+    context.backend = Backend(script)
+
+
+@then('no request that ran ends as "{text}"')
+def none_that_ran(context, text):
+    assert len(context.ran) == 3, context.ran
+    assert text not in [context.outcomes[index] for index in context.ran]
+
+
+@then('those that ran end as "{text}"')
+def those_that_ran(context, text):
+    outcomes = {context.outcomes[index] for index in context.ran}
+    assert outcomes == {text}, context.outcomes
+
+
 @then('the rejected requests end as "worker_rejected" and the others with their body')
 def rejections_told_apart(context):
     wanted = [
--- a/features/worker_protocol.feature
+++ b/features/worker_protocol.feature
@@ -44,6 +44,20 @@
     When the gate sends 6 requests one after the other
     Then the rejected requests end as "worker_rejected" and the others with their body
 
+  Scenario Outline: an earlier rejection comes once more while the next request runs, <how>
+    Given a backend server that repeats each rejection <how>
+    When the gate sends 6 requests one after the other
+    Then no request that ran ends as "worker_rejected"
+    And those that ran end as "<outcome>"
+
+    Examples:
+      | how                       | outcome        |
+      | in two pieces             | body           |
+      | without an id             | body           |
+      | twice                     | body           |
+      | with "Connection: close"  | worker_lost    |
+      | without a length          | answer_invalid |
+
   Scenario: a late copy of an answer is not taken for a health answer
     Given a backend server that answers each request a second time with the next one
     When the gate sends a request and then queries its health
