Give the gate driver and the cold workers' steps modules of their own

Change: the driver is a fixture, the steps on cold workers stand apart; no step or scenario changed.

--- a/features/steps/overload_patterns.py
+++ b/features/steps/overload_patterns.py
@@ -1,9 +1,6 @@
 """Steps for patterns of load, in virtual time."""
 
 import collections
-import dataclasses
-import heapq
-import itertools
 import random
 
 from behave import given
@@ -11,12 +8,9 @@
 from behave import when
 from cactushook import Admission
 from cactushook import Admitted
-from cactushook import Call
 from cactushook import EMPTY_SNAPSHOT
-from cactushook import ErrorKind
 from cactushook import HostRecord
 from cactushook import HostState
-from cactushook import Limits
 from cactushook import Queued
 from cactushook import Refused
 from cactushook import Route
@@ -26,83 +20,14 @@
 from cactushook.calls import Listing
 from cactushook.calls import Load
 from cactushook.gatekeeping import Answered
-from cactushook.gatekeeping import Gatekeeper
 from cactushook.nodes import SplitPart
-from cactushook.publication import Head
 from cactushook.snapshot import bind_route
-from cactushook.snapshot import Snapshot
 from cactushook.splits import Splits
 
-START_MS = 60_000.0
-DEADLINE_MS = 1_000.0
-ids = itertools.count()
-
-
-def request(now_ms, objective_ms=400.0, **fields):
-    return Call(
-        f"q{next(ids)}",
-        "s",
-        RouteClass.IDEMPOTENT,
-        now_ms + fields.pop("left_ms", DEADLINE_MS),
-        1,
-        objective_ms=now_ms + objective_ms,
-        **fields,
-    )
-
-
-@dataclasses.dataclass
-class GateDriver:
-    """Drives one gate in virtual time; each admitted request runs for `service_ms`."""
-
-    gate: Admission
-    service_ms: float
-    now_ms: float = START_MS
-
-    def __post_init__(self):
-        self.ends = []
-        self.arrived_ms = {}
-        self.started_ms = {}
-        self.refused = {}
-        for _ in range(60):
-            self.offer()
-            self.advance(self.now_ms + self.service_ms)
-        self.started_ms.clear()
-        self.arrived_ms.clear()
-
-    def offer(self, **fields):
-        call = request(self.now_ms, **fields)
-        self.arrived_ms[call.request_id] = self.now_ms
-        verdicts = self.gate.offer(call, self.now_ms)
-        self.settle(verdicts)
-        return verdicts[-1]
-
-    def advance(self, until_ms, step_ms=5.0):
-        while self.now_ms < until_ms:
-            self.now_ms = min(until_ms, self.now_ms + step_ms)
-            while self.ends and self.ends[0][0] <= self.now_ms:
-                _, name = heapq.heappop(self.ends)
-                self.settle(self.gate.release(name, self.now_ms))
-            self.settle(self.gate.expire(self.now_ms))
-
-    def settle(self, verdicts):
-        for verdict in verdicts:
-            name = verdict.call.request_id
-            if isinstance(verdict, Admitted):
-                self.started_ms[name] = self.now_ms
-                heapq.heappush(self.ends, (self.now_ms + self.service_ms, name))
-            elif isinstance(verdict, Refused):
-                self.refused[name] = (self.now_ms, verdict.refusal)
-
-
-def limits(slots, queue=200, **fields):
-    return Limits(
-        slots=slots,
-        connections=200,
-        queue_length=queue,
-        queue_timeout_ms=600_000,
-        ramp_ms=1,
-        **fields,
-    )
+from features.gate_driver import GateDriver
+from features.gate_driver import limits
+from features.gate_driver import request
+from features.gate_driver import START_MS
 
 
 @given("a gate with {slots:d} slots whose answers take {service_ms:d} ms")
@@ -259,100 +184,6 @@
     assert isinstance(context.load.offer(priority=priority), Refused)
 
 
-def cold_gatekeeper(slots, per_s):
-    own = HostRecord(name="h", address="a", domain="d", region="r", service="s")
-    keeper = Gatekeeper(own, needs_listing=True)
-    bounds = limits(slots, cold_requests_per_s=per_s)
-    team_file = TeamFile(service="s", team="", failure_domains=(), limits=bounds)
-    keeper.configure(Snapshot(Head(version=1, root=""), {"s": team_file}, {}, ()), 0.0)
-    return keeper
-
-
-@given(
-    "a gate with {slots:d} slots in front of a worker that is cold for {cold_ms:d} ms "
-    "and handles {per_s:d} requests a second"
-)
-def cold_worker(context, slots, cold_ms, per_s):
-    context.keeper = cold_gatekeeper(slots, per_s)
-    listing = Listing("i-1", "s", slots, HostState.LIVE, cold_ms)
-    context.keeper.on_listing(listing, START_MS)
-
-
-@when("{rate:d} requests a second that take {service_ms:d} ms arrive for 3 s")
-def cold_load(context, rate, service_ms):
-    load = GateDriver.__new__(GateDriver)
-    load.gate, load.service_ms, load.now_ms = (
-        context.keeper.admission,
-        service_ms,
-        START_MS,
-    )
-    load.ends, load.arrived_ms, load.started_ms, load.refused = [], {}, {}, {}
-    for _ in range(rate * 3):
-        load.offer()
-        load.advance(load.now_ms + 1_000 / rate)
-    context.load = load
-
-
-@then("in no second are more than {count:d} sent to the worker")
-def cold_bound(context, count):
-    starts = sorted(context.load.started_ms.values())
-    for index, start_ms in enumerate(starts):
-        if start_ms >= START_MS + 2_900:
-            break
-        within = [at for at in starts[index:] if at < start_ms + 1_000]
-        within = [at for at in within if at < START_MS + 3_000]
-        assert len(within) <= count, (start_ms, len(within))
-
-
-@then("each request that was refused is told to return when the worker is warm")
-def returns_warm(context):
-    refused = [
-        (at_ms, refusal)
-        for at_ms, refusal in context.load.refused.values()
-        if refusal.kind is ErrorKind.COLD_START
-    ]
-    assert len(refused) > 10
-    for at_ms, refusal in refused:
-        assert at_ms + refusal.retry_after_ms >= START_MS + 3_000, (at_ms, refusal)
-
-
-@then("after that all are admitted at once")
-def warm_again(context):
-    load = context.load
-    load.advance(load.now_ms + 1_000)
-    slots = load.gate.limits.slots
-    assert all(isinstance(load.offer(), Admitted) for _ in range(slots))
-
-
-@given(
-    "a gate with {slots:d} slots in front of a warm worker that handles {per_s:d} "
-    "requests a second when cold"
-)
-def warm_worker(context, slots, per_s):
-    context.keeper = cold_gatekeeper(slots, per_s)
-    context.keeper.on_listing(Listing("i-1", "s", slots, HostState.LIVE), START_MS)
-    assert not context.keeper.is_cold(START_MS)
-
-
-@when("the worker accepts connections again after it refused them")
-def worker_reconnects(context):
-    context.keeper.on_worker_down(START_MS)
-    verdict = context.keeper.offer(request(START_MS), (), START_MS, 0.0)[-1]
-    assert verdict.refusal.kind is ErrorKind.WORKER_UNREACHABLE
-    context.keeper.on_worker_up(START_MS)
-
-
-@then("it is treated as cold")
-def is_cold(context):
-    assert context.keeper.is_cold(START_MS)
-
-
-@then("once it reports that it is warm, all slots are available")
-def reports_warm(context):
-    context.keeper.set_cold_remaining(0.0, START_MS + 1)
-    assert context.keeper.load(START_MS + 1).capacity == 9
-
-
 @when("a request runs, another waits and the address moves to another service")
 def address_reused(context):
     keeper = context.keeper
