Listen for callers before the node's modules are loaded

A sixth of the imports' time went into parsing the definitions of the messages. Change: the daemon binds its callers' addresses first, and loads the event loop and the node afterwards, without garbage collection meanwhile; callers wait in the queue of the sockets until the node is ready, for half a second at most. Classes of messages are generated and committed; a feature compares them with the definitions.

--- /dev/null
+++ b/features/starting.feature
@@ -0,0 +1,23 @@
+Feature: Callers of a node that starts
+
+  Scenario: callers can connect before most of the node is loaded
+    Then the command of the daemon loads neither the event loop nor the node
+
+  Scenario: a caller that connects before the node is ready is served once it is
+    Given an edge whose addresses are bound while its node starts
+    When a request is sent, and the edge waits until the node is ready
+    Then the request is served only after that
+
+  Scenario: callers of a node that does not become ready are not kept waiting
+    Given an edge whose addresses are bound while its node starts
+    When a request is sent, and the edge waits although the node does not become ready
+    Then the request is served all the same
+
+  Scenario: an address in use does not keep the other one
+    Given a node's settings whose internal address is in use
+    Then binding its addresses fails and names "internal_listen"
+    And its public address is free again
+
+  Scenario: the generated messages are those of the definitions
+    Then generating the messages again changes nothing
+    And a message without its lists has lists of its own
--- /dev/null
+++ b/features/steps/starting.py
@@ -0,0 +1,121 @@
+"""Steps for nodes that start while callers connect."""
+
+import importlib.util
+import pathlib
+import socket
+import subprocess
+import sys
+import unittest.mock
+
+import trio
+import trio.testing
+from behave import given
+from behave import then
+from behave import when
+from cactushook import CactushookError
+from cactushook_node import edge
+from cactushook_node import wire
+from cactushook_node.caller_sockets import bind_caller_sockets
+from cactushook_node.environment import Readiness
+
+from features import edge_fixtures
+
+GENERATOR = pathlib.Path("packages/cactushook-node/generate_messages.py")
+REQUEST = b"GET /reports HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+UNREACHED_WAIT_MS = 600_000
+LIST_LOADED = "import sys, cactushook_node.main; print(*sorted(sys.modules))"
+
+
+@then("the command of the daemon loads neither the event loop nor the node")
+def loads_little(context):
+    command = [sys.executable, "-c", LIST_LOADED]
+    loaded = subprocess.run(command, capture_output=True, check=True).stdout.split()
+    assert b"cactushook_node.main" in loaded
+    assert b"trio" not in loaded
+    assert b"cactushook_node.node" not in loaded
+
+
+@given("an edge whose addresses are bound while its node starts")
+def starting_edge(context):
+    context.env = edge_fixtures.environment()
+    context.entry = edge_fixtures.ScriptedEntry()
+    sockets = bind_caller_sockets(context.env.settings)
+    context.resources.callback(sockets.close)
+    context.edge = edge.Edge(context.env, context.entry, sockets)
+
+
+@when("a request is sent, and the edge waits until the node is ready")
+def node_becomes_ready(context):
+    with unittest.mock.patch.object(edge, "READY_WAIT_MS", UNREACHED_WAIT_MS):
+        trio.run(call_starting_edge, context, True)
+
+
+@when("a request is sent, and the edge waits although the node does not become ready")
+def node_stays_unready(context):
+    trio.run(call_starting_edge, context, False)
+
+
+async def call_starting_edge(context, becomes_ready):
+    """Sends a request before the edge accepts callers."""
+    env = context.env
+    async with trio.open_nursery() as nursery:
+        stream = await edge_fixtures.connect(env.settings.public_listen)
+        await stream.send_all(REQUEST)
+        nursery.start_soon(context.edge.serve_once_ready)
+        await trio.testing.wait_all_tasks_blocked()
+        context.served_before = len(context.entry.requests)
+        if becomes_ready:
+            env.board.readiness.write(Readiness(True, "ready"))
+        context.answer, _ = await edge_fixtures.read_to_end(stream)
+        nursery.cancel_scope.cancel()
+
+
+@then("the request is served only after that")
+@then("the request is served all the same")
+def served_later(context):
+    assert context.served_before == 0
+    assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
+
+
+@given("a node's settings whose internal address is in use")
+def internal_address_taken(context):
+    context.env = edge_fixtures.environment()
+    ip, _, port = context.env.settings.internal_listen.rpartition(":")
+    taken = context.resources.enter_context(socket.socket())
+    taken.bind((ip, int(port)))
+    taken.listen()
+
+
+@then('binding its addresses fails and names "{field}"')
+def binding_fails(context, field):
+    try:
+        bind_caller_sockets(context.env.settings).close()
+    except CactushookError as error:
+        assert field in error.message, error
+    else:
+        raise AssertionError("both addresses were bound")
+
+
+@then("its public address is free again")
+def public_address_free(context):
+    ip, _, port = context.env.settings.public_listen.rpartition(":")
+    with socket.socket() as probe:
+        probe.bind((ip, int(port)))
+
+
+@then("generating the messages again changes nothing")
+def generated_is_current(context):
+    spec = importlib.util.spec_from_file_location("generate_messages", GENERATOR)
+    generator = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(generator)
+    command = [sys.executable, "-m", "ruff", "format", "-"]
+    generated = generator.generate().encode()
+    formatted = subprocess.run(command, input=generated, stdout=-1, check=True).stdout
+    assert formatted == generator.GENERATED.read_bytes()
+
+
+@then("a message without its lists has lists of its own")
+def own_lists(context):
+    first, second = wire.RefusalMessage(stream_id=1), wire.RefusalMessage(stream_id=2)
+    first.home.append("a host")
+    assert second.home == []
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -2,15 +2,19 @@
 
 import dataclasses
 import select
+import socket
 import typing as t
 
 import trio
 from cactushook import ErrorKind
 from cactushook import RequestError
 
+from .caller_sockets import bind_caller_sockets
+from .caller_sockets import CallerSockets
 from .entry import Entry
 from .entry import EntryRequest
 from .environment import Environment
+from .environment import Readiness
 from .http_server import AnswerTruncatedError
 from .http_server import CallerGoneError
 from .http_server import HttpConnection
@@ -19,6 +23,8 @@
 DISCONNECT_SWEEP_MS = 100
 # Accepted at the most while the listeners close, so that a flood cannot delay a stop.
 MAX_PENDING_ACCEPTS = 200
+# How long callers of a starting node wait to be accepted; then they are refused.
+READY_WAIT_MS = 500
 PLACE = "edge"
 
 
@@ -38,16 +44,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Listening:
-    """The listeners of one address."""
+    """The listener of one address."""
 
-    fds: tuple[int, ...]
+    fd: int
     scope: trio.CancelScope
     closed: trio.Event
 
     @property
     def has_pending(self) -> bool:
         """Whether connections wait to be accepted."""
-        return any(map(_is_readable, self.fds))
+        return _is_readable(self.fd)
 
 
 class Edge:
@@ -58,11 +64,18 @@
     Args:
         environment: the node's central object.
         entry: serves the requests.
+        sockets: at which callers connect; bound by `serve` if there are none yet.
     """
 
-    def __init__(self, environment: Environment, entry: Entry) -> None:
+    def __init__(
+        self,
+        environment: Environment,
+        entry: Entry,
+        sockets: CallerSockets | None = None,
+    ) -> None:
         self._environment = environment
         self._entry = entry
+        self._sockets = sockets
         self._running: dict[int, trio.CancelScope] = {}
         self._receiving: dict[int, _Receiving] = {}
         self._listening: list[_Listening] = []
@@ -76,12 +89,29 @@
             receiving.is_idle for receiving in self._receiving.values()
         )
 
-    async def serve(self, task_status: trio.TaskStatus[t.Any]) -> None:
-        """Listens for callers until cancelled."""
-        settings = self._environment.settings
+    async def serve_once_ready(self) -> None:
+        """Accepts callers once the node is ready, or after `READY_WAIT_MS`."""
+        ready = trio.Event()
+
+        def on_readiness(readiness: Readiness) -> None:
+            if readiness.ready:
+                ready.set()
+
+        self._environment.board.readiness.watch(on_readiness)
+        with trio.move_on_after(READY_WAIT_MS / 1_000):
+            await ready.wait()
+        await self.serve()
+
+    async def serve(
+        self, task_status: trio.TaskStatus[t.Any] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Accepts callers until cancelled, unless the edge has been stopped already."""
+        if self._stopped:
+            return
+        sockets = self._sockets or bind_caller_sockets(self._environment.settings)
         async with trio.open_nursery() as nursery:
-            await nursery.start(self._listen, settings.public_listen, False, nursery)
-            await nursery.start(self._listen, settings.internal_listen, True, nursery)
+            await nursery.start(self._listen, sockets.public, False, nursery)
+            await nursery.start(self._listen, sockets.internal, True, nursery)
             task_status.started()
             await trio.sleep_forever()
 
@@ -120,20 +150,18 @@
 
     async def _listen(
         self,
-        address: str,
+        bound: socket.socket,
         internal: bool,
         handlers: trio.Nursery,
         task_status: trio.TaskStatus[t.Any],
     ) -> None:
-        ip, _, port = address.rpartition(":")
         accept = Listener(self, self._environment, internal).accept
-        listeners = await trio.open_tcp_listeners(int(port), host=ip)
-        fds = tuple(item.socket.fileno() for item in listeners)
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(bound))
         with trio.CancelScope() as scope:
-            listening = _Listening(fds, scope, trio.Event())
+            listening = _Listening(bound.fileno(), scope, trio.Event())
             self._listening.append(listening)
             await trio.serve_listeners(
-                accept, listeners, handler_nursery=handlers, task_status=task_status
+                accept, [listener], handler_nursery=handlers, task_status=task_status
             )
         listening.closed.set()
 
--- a/packages/cactushook-node/src/cactushook_node/main.py
+++ b/packages/cactushook-node/src/cactushook_node/main.py
@@ -1,20 +1,17 @@
 """Command line of ``cactushookd``."""
 
 import argparse
-import errno
 import gc
-import os
 import pathlib
-import socket
 import sys
 
-import trio
 from cactushook import CactushookError
 from cactushook import ErrorKind
 
 from . import logs
-from .node import run_node
-from .settings import LISTEN_FIELDS
+from .caller_sockets import bind_caller_sockets
+from .caller_sockets import CallerSockets
+from .caller_sockets import check_other_addresses_free
 from .settings import read_settings
 from .settings import Settings
 
@@ -60,34 +57,38 @@
 def _run_node(
     settings: Settings, settings_file: pathlib.Path, writer: logs.LineWriter
 ) -> None:
-    _check_addresses_free(settings)
+    sockets = bind_caller_sockets(settings)
+    try:
+        check_other_addresses_free(settings)
+        _run_event_loop(settings, settings_file, writer, sockets)
+    finally:
+        sockets.close()
+        logs.flush_before_exit(writer)
+
+
+def _run_event_loop(
+    settings: Settings,
+    settings_file: pathlib.Path,
+    writer: logs.LineWriter,
+    sockets: CallerSockets,
+) -> None:
+    # These imports are most of the start's processor time. Callers that connect
+    # meanwhile wait at the sockets and are not turned away.
+    gc.disable()
+    import trio
+
+    from .node import run_node
+
+    gc.enable()
     # A full garbage collection over the modules' objects would stop requests for 10 ms.
     gc.freeze()
     try:
-        trio.run(run_node, settings, settings_file, writer)
+        trio.run(run_node, settings, settings_file, writer, sockets)
     except* OSError as group:
         error = _first_leaf(group)
         raise CactushookError(
             ErrorKind.ADDRESS_IN_USE, f"the node stopped: {error}"
         ) from group
-    finally:
-        logs.flush_before_exit(writer)
-
-
-def _check_addresses_free(settings: Settings) -> None:
-    """Binds each listening address for a moment, so that an error names its field."""
-    for field in LISTEN_FIELDS:
-        ip, _, port = getattr(settings, field).rpartition(":")
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((ip, int(port)))
-                probe.listen()
-            except OSError as error:
-                reason = os.strerror(error.errno or errno.EINVAL)
-                raise CactushookError(
-                    ErrorKind.ADDRESS_IN_USE, f"{field} {ip}:{port}: {reason}"
-                ) from error
 
 
 def _first_leaf(error: BaseException) -> BaseException:
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -7,12 +7,14 @@
 import trio
 from cactushook import CrashReport
 from cactushook import HostState
+from cactushook import Snapshot
 from cactushook.pacing import Reservation
 
 from . import adapters
 from . import wire
 from .admin import Admin
 from .call_messages import call_from_message
+from .caller_sockets import CallerSockets
 from .distribution import Distribution
 from .edge import Edge
 from .entry import Entry
@@ -43,9 +45,15 @@
     Args:
         environment: the node's central object.
         nursery: runs all tasks of the node.
+        sockets: at which callers connect; bound by the edge if there are none yet.
     """
 
-    def __init__(self, environment: Environment, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        environment: Environment,
+        nursery: trio.Nursery,
+        sockets: CallerSockets | None = None,
+    ) -> None:
         self.environment = environment
         self._nursery = nursery
         self._tasks = Supervisor(environment, nursery)
@@ -61,7 +69,7 @@
             self.distribution = Replication(
                 environment, adapter, self.links, self._tasks
             )
-        self.edge = Edge(environment, self.entry)
+        self.edge = Edge(environment, self.entry, sockets)
         self.admin = Admin(environment, self.entry.router)
         self._join_protocol: JoinProtocol | None = None
         if adapter is None:
@@ -106,11 +114,15 @@
                 self._accept, int(port), host=ip, task_status=task_status
             )
         )
-        await nursery.start(self.edge.serve)
+        environment.board.snapshot.watch(self._on_snapshot)
+        nursery.start_soon(self.edge.serve_once_ready)
         self.distribution.start()
         environment.timers.every(READY_CHECK_MS, self._update_readiness, first_ms=0)
         environment.log.info("started")
 
+    def _on_snapshot(self, snapshot: Snapshot) -> None:
+        self._update_readiness(self.environment.now_ms())
+
     async def on_hello(self, link: Link, hello: wire.Message) -> None:
         """Handles the first message of a connection."""
         await self.distribution.on_hello(link, hello)
@@ -267,7 +279,10 @@
 
 
 async def run_node(
-    settings: Settings, settings_file: pathlib.Path, writer: LineWriter
+    settings: Settings,
+    settings_file: pathlib.Path,
+    writer: LineWriter,
+    sockets: CallerSockets | None = None,
 ) -> None:
     """Runs one node until a signal stops it."""
     environment = Environment(settings, settings_file)
@@ -275,4 +290,4 @@
         LOG_PERIOD_MS, lambda now_ms: writer.write_pending(), first_ms=0
     )
     async with trio.open_nursery() as nursery:
-        await Node(environment, nursery).run()
+        await Node(environment, nursery, sockets).run()
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -1,11 +1,8 @@
 """Thrift messages between nodes, and their framing."""
 
-import pathlib
 import struct
-import types
 import typing as t
 
-import thriftpy2
 import xxhash
 from cactushook import ErrorKind
 from cactushook import Head
@@ -19,10 +16,8 @@
 from thriftpy2.utils import serialize
 
 from . import thrift_bounds
+from . import wire_messages as _messages
 
-_messages: types.ModuleType = thriftpy2.load(
-    str(pathlib.Path(__file__).with_name("wire.thrift")), module_name="wire_thrift"
-)
 Header = _messages.Header
 HostEntry = _messages.HostEntry
 Hello = _messages.Hello
