Read the platform's store from half as many nodes, with longer pauses

Change: one reader for 32 hosts of a failure domain instead of 16; a reader waits half a second after a change, which leaves at least 1.5 s of the time in which a change must be in force. The feature's sizes follow, with as many readers as before.

--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -1,7 +1,7 @@
 Feature: A node keeps its copy of the store up to date with few calls
 
   Scenario: few nodes read, whatever the size of the fleet
-    Given failure domains of 4, 17 and 40 hosts
+    Given failure domains of 4, 33 and 72 hosts
     Then 1, 2 and 3 of their hosts read the store
     And every other node follows two readers, the first one in its own domain
     And no node follows itself
--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -16,7 +16,7 @@
 READER_MAX_BACKOFF_MS = 800.0
 OTHERS_MAX_BACKOFF_MS = 3_000.0
 # Pause after a reading with changes; changes in quick succession need only one call.
-WATCH_PAUSE_MS = 300.0
+WATCH_PAUSE_MS = 500.0
 # A waiting watch receives nothing; a probe checks whether its path still works.
 PROBE_PERIOD_MS = 400.0
 # A reading that occupies the host's link for more than this time is long.
--- a/packages/cactushook/src/cactushook/upstreams.py
+++ b/packages/cactushook/src/cactushook/upstreams.py
@@ -12,7 +12,7 @@
 from .nodes import HostRecord
 from .nodes import HostState
 
-HOSTS_PER_READER = 16
+HOSTS_PER_READER = 32
 # The first upstream sends changes; the second one only reports that there are some.
 MAX_FOLLOWED = 2
 # Silence after which an upstream no longer counts as up to date. Together with the
