Tell peers of hosts that do not respond, and send them requests last

Ways weighed: believing peers (a node that is cut off would take healthy hosts out of use everywhere) and a shorter time until running work is given up (a node that is only slow would lose it). Neither was taken. Change: a host that leaves a ping unanswered for a tick gets requests last until it sends something; running work stays where it is. The node tells up to 64 peers, which ask the host themselves and believe only its silence. Silent hosts are probed, so that no caller's request is spent on that. Connecting and the hello have 0.3 and 0.5 s.

--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -110,7 +110,11 @@
         self._gate = gate
         settings = environment.settings
         self.router = Router(
-            settings.domain, settings.region, environment.rng, settings.host
+            settings.domain,
+            settings.region,
+            environment.rng,
+            settings.host,
+            environment.silent_peers,
         )
         self._budgets: dict[str, Budget] = {}
         self._splits = Splits(environment.rng)
--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -18,6 +18,7 @@
 from cactushook.calls import Listing
 from cactushook.fleet import CallerLimits
 from cactushook.pacing import Pacer
+from cactushook.silence import SilentPeers
 
 from . import logs
 from .headers import load_header_names
@@ -99,6 +100,7 @@
             self._settings_mtime_ns = settings_file.stat().st_mtime_ns
             self.timers.every(SETTINGS_PERIOD_MS, self._check_settings_file)
         self.pacer = Pacer(settings.link_mbps)
+        self.silent_peers = SilentPeers()
         self.store = VersionStore()
         self.membership = Membership(self._make_own_record())
 
@@ -174,6 +176,18 @@
             await trio.sleep(TICK_MS / 1_000)
             self.timers.advance(self.now_ms())
 
+    def mark_peer_silent(self, address: str) -> None:
+        """Records that a node did not respond; others get its requests meanwhile."""
+        if self.silent_peers.mark_silent(address, self.now_ms()):
+            self.metrics.silent_peers.set(len(self.silent_peers))
+            self.log.info("peer_not_responding", address=address)
+
+    def mark_peer_responding(self, address: str) -> None:
+        """Records a sign of life of a node."""
+        if self.silent_peers.mark_responding(address):
+            self.metrics.silent_peers.set(len(self.silent_peers))
+            self.log.info("peer_responding", address=address)
+
     def record_failure(self, place: str, error: Exception) -> None:
         """Counts and logs an unexpected error."""
         self.metrics.handler_failures.labels(place).inc()
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -11,8 +11,8 @@
 from .links import LinkHandler
 from .supervision import TaskStarter
 
-CONNECT_TIMEOUT_S = 0.5
-HELLO_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.3
+HELLO_TIMEOUT_S = 0.5
 
 
 class LinkPool:
@@ -58,9 +58,19 @@
                 self._failures[address] += 1
                 raise
 
+    def find(self, address: str) -> Link | None:
+        """Returns the open link to a node, if there is one."""
+        link = self._links.get(address)
+        return None if link is None or link.closed else link
+
+    def open_links(self) -> list[tuple[str, Link]]:
+        """Returns the links that are used for requests, with their addresses."""
+        return [(a, link) for a, link in self._links.items() if _is_usable(link)]
+
     def register_incoming(self, link: Link) -> None:
         """Uses a connection that another node opened, unless a usable one exists."""
         address = link.peer_hello.host.address
+        self._environment.mark_peer_responding(address)
         if not _is_usable(self._links.get(address)):
             self._links[address] = link
 
@@ -69,7 +79,12 @@
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await trio.open_tcp_stream(ip, int(port))
-        except (OSError, trio.TooSlowError) as error:
+        except trio.TooSlowError as error:
+            self._environment.mark_peer_silent(address)
+            raise _unreachable(address, "it does not respond") from error
+        except OSError as error:
+            # The host responds, though no node runs there.
+            self._environment.mark_peer_responding(address)
             raise _unreachable(address, repr(error)) from error
         link = Link(self._environment, stream, self._handler)
         self._tasks.start_soon(self._run, link, stream)
@@ -78,6 +93,7 @@
             await link.hello_received.wait()
         if link.peer_hello is None:
             link.abort("no_hello")
+            self._environment.mark_peer_silent(address)
             raise _unreachable(address, "it sent no hello")
         self._links[address] = link
         return link
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -60,6 +60,7 @@
         closed: whether the connection has ended.
         retired: whether new requests must use another connection.
         hello_received: set once the hello has arrived or the link has closed.
+        received_ms: when bytes arrived last.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self._stream_ids = itertools.count(1)
         self._liveness = LivenessMonitor()
         self._used_ms = environment.timers.now_ms
+        self.received_ms = environment.now_ms()
         self._peer_retired = False
         self._scope = trio.CancelScope()
 
@@ -180,14 +182,29 @@
         )
         match liveness:
             case Liveness.SUSPECT:
+                if self._liveness.is_ping_unanswered:
+                    self._mark_peer_silent()
                 self.send_soon(wire.PingMessage(False))
             case Liveness.SILENT:
+                self._mark_peer_silent()
                 self._on_silence()
             case Liveness.DEAD:
                 self.abort("peer_unresponsive")
             case Liveness.ALIVE:
                 self._end_if_idle(now_ms)
 
+    def _mark_peer_silent(self) -> None:
+        if self.peer_hello is not None:
+            self.environment.mark_peer_silent(self.peer_hello.host.address)
+
+    def _record_received(self) -> None:
+        environment = self.environment
+        self._liveness.on_bytes_received()
+        self._used_ms = environment.timers.now_ms
+        self.received_ms = environment.now_ms()
+        if len(environment.silent_peers) and self.peer_hello is not None:
+            environment.mark_peer_responding(self.peer_hello.host.address)
+
     def _on_silence(self) -> None:
         """Gives up the requests that another node can run.
 
@@ -233,8 +250,7 @@
     async def _receive_frames(self, nursery: trio.Nursery) -> None:
         buffer = wire.FrameDecoder(self.environment.settings.limits.frame_bytes)
         while data := await self._stream.receive_some(RECEIVE_BYTES):
-            self._liveness.on_bytes_received()
-            self._used_ms = self.environment.timers.now_ms
+            self._record_received()
             try:
                 for message in buffer.feed(data):
                     self._count("in", message, buffer.last_frame_bytes)
--- a/packages/cactushook-node/src/cactushook_node/liveness.py
+++ b/packages/cactushook-node/src/cactushook_node/liveness.py
@@ -2,6 +2,8 @@
 
 import enum
 
+# Ticks after which a ping is unanswered; it was sent at the first silent tick.
+UNANSWERED_TICKS = 2
 SILENT_TICKS_LIMIT = 3
 STUCK_TICKS_LIMIT = 6
 # A peer that is silent for longer is given up with all requests.
@@ -33,6 +35,11 @@
         self._silent_ticks = 0
         self._stuck_ticks = 0
 
+    @property
+    def is_ping_unanswered(self) -> bool:
+        """Whether the peer has had a tick to answer a ping and has not."""
+        return self._silent_ticks >= UNANSWERED_TICKS
+
     def on_bytes_received(self) -> None:
         """Resets the count of silent ticks."""
         self._silent_ticks = 0
--- a/packages/cactushook-node/src/cactushook_node/metrics.py
+++ b/packages/cactushook-node/src/cactushook_node/metrics.py
@@ -53,6 +53,9 @@
         self.version = self._gauge("cactushook_version", "Version in force.")
         self.running = self._gauge("cactushook_running", "Requests at the worker.")
         self.capacity = self._gauge("cactushook_capacity", "Slots usable at present.")
+        self.silent_peers = self._gauge(
+            "cactushook_silent_peers", "Nodes that do not respond at present."
+        )
         self.added_seconds = prom.Histogram(
             "cactushook_entry_seconds",
             "Time from a request's arrival to its answer's start.",
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -30,6 +30,7 @@
 from .link_pool import LinkPool
 from .links import Link
 from .logs import LineWriter
+from .peer_watch import PeerWatch
 from .platform import HttpPlatform
 from .replication import Replication
 from .settings import Settings
@@ -58,6 +59,7 @@
         self._nursery = nursery
         self._tasks = Supervisor(environment, nursery)
         self.links = LinkPool(environment, self, self._tasks)
+        self._peer_watch = PeerWatch(environment, self.links, self._tasks)
         self.gate = Gate(environment, self._tasks)
         self.entry = Entry(environment, self.links, self.gate)
         adapter = adapters.create_adapter(environment.settings, environment.metrics)
@@ -176,6 +178,8 @@
                 self.gate.record_crash(
                     CrashReport(message.service_name, message.fingerprint, message.host)
                 )
+            case wire.SilenceMessage():
+                self._peer_watch.on_report(message)
             case wire.JoinMessage() if self._join_protocol is not None:
                 await self._join_protocol.on_join(link, message)
             case wire.JoinedMessage() if self._join_protocol is not None:
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/peer_watch.py
@@ -0,0 +1,102 @@
+"""Watches nodes that do not respond: tells peers, checks reports and probes."""
+
+from cactushook import RequestError
+
+from . import wire
+from .environment import Environment
+from .link_pool import LinkPool
+from .links import Link
+from .supervision import TaskStarter
+
+PERIOD_MS = 50
+# A node that was asked because of a report must respond within this time.
+ANSWER_TIMEOUT_MS = 200
+# Peers that are told of a silent node; those that have asked it tell others.
+MAX_TOLD_PEERS = 64
+MAX_REPORTED_ADDRESSES = 256
+MAX_CONNECTING = 8
+
+
+class PeerWatch:
+    """Keeps the node's knowledge of silent peers up to date.
+
+    Args:
+        environment: the node's central object.
+        links: connections to other nodes.
+        tasks: runs the attempts to connect to silent nodes.
+    """
+
+    def __init__(
+        self, environment: Environment, links: LinkPool, tasks: TaskStarter
+    ) -> None:
+        self._environment = environment
+        self._links = links
+        self._tasks = tasks
+        self._connecting: set[str] = set()
+        environment.timers.every(PERIOD_MS, self._on_timer)
+
+    def on_report(self, message: wire.Message) -> None:
+        """Asks the nodes that a peer reported as silent, if they are in use here."""
+        environment = self._environment
+        now_ms = environment.now_ms()
+        for address in message.addresses[:MAX_REPORTED_ADDRESSES]:
+            if not environment.silent_peers.record_report(address, now_ms):
+                continue
+            link = self._links.find(address)
+            if link is not None:
+                self._ask(link, address)
+
+    def _ask(self, link: Link, address: str) -> None:
+        asked_ms = self._environment.now_ms()
+
+        def check(now_ms: float) -> None:
+            if link.received_ms < asked_ms and not link.closed:
+                self._environment.mark_peer_silent(address)
+
+        link.send_soon(wire.PingMessage(False))
+        self._environment.timers.after(ANSWER_TIMEOUT_MS, check)
+
+    def _on_timer(self, now_ms: float) -> None:
+        silent_peers = self._environment.silent_peers
+        addresses = silent_peers.take_unreported()
+        if addresses:
+            self._report(addresses)
+        if not len(silent_peers):
+            return
+        listed = {host.address for host in self._environment.membership.hosts}
+        for address in silent_peers.take_due_probes(listed, now_ms):
+            self._probe(address)
+        self._environment.metrics.silent_peers.set(len(silent_peers))
+
+    def _report(self, addresses: tuple[str, ...]) -> None:
+        """Tells some of the peers; a peer that is silent itself learns nothing."""
+        silent_peers = self._environment.silent_peers
+        links = [
+            link
+            for address, link in self._links.open_links()
+            if not silent_peers.is_silent(address)
+        ]
+        count = min(len(links), MAX_TOLD_PEERS)
+        message = wire.SilenceMessage(list(addresses))
+        for link in self._environment.rng.sample(links, count):
+            link.send_soon(message)
+
+    def _probe(self, address: str) -> None:
+        link = self._links.find(address)
+        if link is not None:
+            link.send_soon(wire.PingMessage(False))
+        elif address not in self._connecting and len(self._connecting) < MAX_CONNECTING:
+            self._connecting.add(address)
+            self._tasks.start_soon(self._connect, address)
+
+    async def _connect(self, address: str) -> None:
+        try:
+            await self._links.get(address)
+        except RequestError as error:
+            self._environment.log.debug(
+                "peer_unreachable", address=address, reason=error.message
+            )
+        else:
+            self._environment.mark_peer_responding(address)
+        finally:
+            self._connecting.discard(address)
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -41,6 +41,7 @@
 JoinedMessage = _messages.JoinedMessage
 PingMessage = _messages.PingMessage
 RetireMessage = _messages.RetireMessage
+SilenceMessage = _messages.SilenceMessage
 StoreItem = _messages.StoreItem
 RevisionMessage = _messages.RevisionMessage
 ItemsPullMessage = _messages.ItemsPullMessage
@@ -59,6 +60,7 @@
     BusyMessage,
     PingMessage,
     RetireMessage,
+    SilenceMessage,
     RevisionMessage,
     ItemsPullMessage,
     ItemsMessage,
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -184,6 +184,11 @@
   1: bool answer,
 }
 
+// Nodes that do not respond to the sender. Receivers ask those nodes themselves.
+struct SilenceMessage {
+  1: list<string> addresses,
+}
+
 // One value of the platform's store, or its removal.
 struct StoreItem {
   1: string key,
@@ -246,4 +251,5 @@
   21: ItemsPullMessage items_pull,
   22: ItemsMessage items,
   23: FollowMessage follow,
+  24: SilenceMessage silence,
 }
--- a/packages/cactushook-node/src/cactushook_node/wire_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/wire_messages.py
@@ -536,6 +536,20 @@
         self.answer = answer
 
 
+class SilenceMessage(TPayload):
+    """Struct ``SilenceMessage``."""
+
+    thrift_spec = {
+        1: (TType.LIST, "addresses", TType.STRING, False),
+    }
+
+    def __init__(
+        self,
+        addresses=None,
+    ):
+        self.addresses = addresses
+
+
 class StoreItem(TPayload):
     """Struct ``StoreItem``."""
 
@@ -663,6 +677,7 @@
         21: (TType.STRUCT, "items_pull", ItemsPullMessage, False),
         22: (TType.STRUCT, "items", ItemsMessage, False),
         23: (TType.STRUCT, "follow", FollowMessage, False),
+        24: (TType.STRUCT, "silence", SilenceMessage, False),
     }
 
     def __init__(
@@ -690,6 +705,7 @@
         items_pull=None,
         items=None,
         follow=None,
+        silence=None,
     ):
         self.hello = hello
         self.call = call
@@ -714,3 +730,4 @@
         self.items_pull = items_pull
         self.items = items
         self.follow = follow
+        self.silence = silence
--- a/packages/cactushook/src/cactushook/routing.py
+++ b/packages/cactushook/src/cactushook/routing.py
@@ -11,6 +11,7 @@
 from .exceptions import ErrorKind
 from .nodes import HostRecord
 from .nodes import HostState
+from .silence import SilentPeers
 from .snapshot import Snapshot
 
 LOAD_TTL_MS = 2_000
@@ -84,12 +85,19 @@
         region: the entry's own region.
         rng: source of randomness.
         own: name of the entry's own host.
+        silent_peers: nodes that do not respond; they get requests last.
     """
 
     def __init__(
-        self, domain: str, region: str, rng: random.Random, own: str = ""
+        self,
+        domain: str,
+        region: str,
+        rng: random.Random,
+        own: str = "",
+        silent_peers: SilentPeers | None = None,
     ) -> None:
         self._rng = rng
+        self._silent_peers = SilentPeers() if silent_peers is None else silent_peers
         self._candidates = CandidateCache(Location(own, domain, region))
         self._workers: dict[str, _WorkerState] = {}
         self._domain_until_ms: dict[str, float] = {}
@@ -177,6 +185,8 @@
         return self._doubt_reason(host, now_ms)
 
     def _doubt_reason(self, host: HostRecord, now_ms: float) -> str:
+        if self._silent_peers.is_silent(host.address):
+            return "does not respond"
         if self._domain_until_ms.get(host.domain, 0.0) > now_ms:
             return "its failure domain refused recently"
         worker = self._workers.get(host.name)
@@ -238,8 +248,9 @@
     ) -> HostRecord | None:
         now_ms = demand.now_ms
 
-        def rank(host: HostRecord) -> tuple[float, float, float, str]:
+        def rank(host: HostRecord) -> tuple[bool, float, float, float, str]:
             return (
+                self._silent_peers.is_silent(host.address),
                 max(now_ms, self._domain_until_ms.get(host.domain, 0.0)),
                 max(now_ms, self._get_state(host.name).avoid_until_ms),
                 self._load_ratio(host, now_ms),
--- /dev/null
+++ b/packages/cactushook/src/cactushook/silence.py
@@ -0,0 +1,106 @@
+"""Tracks nodes that do not respond, so that others get the requests meanwhile.
+
+A node tells its peers which nodes it finds silent. A peer never takes its word for it:
+it asks the silent node itself, since a node that is cut off finds all others silent.
+"""
+
+import collections
+import typing as t
+
+PROBE_PERIOD_MS = 700.0
+# A silent node that was not heard from for so long is left to the host list.
+FORGET_MS = 30_000.0
+# A node that a peer reported in this time is not reported again.
+REPORT_TTL_MS = 3_000.0
+MAX_TRACKED = 256
+
+
+class SilentPeers:
+    """The nodes that do not respond to this one at present, by address.
+
+    It has no clock of its own: the caller passes the time.
+    """
+
+    def __init__(self) -> None:
+        self._silent_since_ms: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._next_probe_ms: dict[str, float] = {}
+        self._reported_ms: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._unreported: list[str] = []
+
+    def __len__(self) -> int:
+        return len(self._silent_since_ms)
+
+    def is_silent(self, address: str) -> bool:
+        """Returns whether a node does not respond."""
+        return address in self._silent_since_ms
+
+    def mark_silent(self, address: str, now_ms: float) -> bool:
+        """Records that a node did not respond; returns whether that is new."""
+        if address in self._silent_since_ms:
+            return False
+        self._silent_since_ms[address] = now_ms
+        self._next_probe_ms[address] = now_ms + PROBE_PERIOD_MS
+        if not self._was_reported(address, now_ms):
+            self._record_report(address, now_ms)
+            self._unreported.append(address)
+        if len(self._silent_since_ms) > MAX_TRACKED:
+            self._forget(next(iter(self._silent_since_ms)))
+        return True
+
+    def mark_responding(self, address: str) -> bool:
+        """Records a sign of life of a node; returns whether it was silent."""
+        if address not in self._silent_since_ms:
+            return False
+        self._forget(address)
+        return True
+
+    def record_report(self, address: str, now_ms: float) -> bool:
+        """Records a peer's report; returns whether this node should ask for itself."""
+        is_new = not self._was_reported(address, now_ms)
+        self._record_report(address, now_ms)
+        return is_new and not self.is_silent(address)
+
+    def take_unreported(self) -> tuple[str, ...]:
+        """Returns the nodes that peers should be told of, each only once."""
+        addresses = tuple(a for a in self._unreported if self.is_silent(a))
+        self._unreported = []
+        return addresses
+
+    def take_due_probes(
+        self, listed: t.Container[str], now_ms: float
+    ) -> tuple[str, ...]:
+        """Returns the silent nodes to ask again now.
+
+        Args:
+            listed: addresses of the nodes that the host list contains; others are
+                forgotten.
+            now_ms: the time.
+        """
+        for address, since_ms in list(self._silent_since_ms.items()):
+            if address not in listed or now_ms - since_ms > FORGET_MS:
+                self._forget(address)
+        due = tuple(a for a, at_ms in self._next_probe_ms.items() if at_ms <= now_ms)
+        for address in due:
+            self._next_probe_ms[address] = now_ms + PROBE_PERIOD_MS
+        return due
+
+    def _forget(self, address: str) -> None:
+        del self._silent_since_ms[address]
+        del self._next_probe_ms[address]
+
+    def _was_reported(self, address: str, now_ms: float) -> bool:
+        reported_ms = self._reported_ms.get(address, float("-inf"))
+        return now_ms - reported_ms < REPORT_TTL_MS
+
+    def _record_report(self, address: str, now_ms: float) -> None:
+        self._reported_ms[address] = now_ms
+        self._reported_ms.move_to_end(address)
+        if len(self._reported_ms) > MAX_TRACKED:
+            self._reported_ms.popitem(last=False)
+
+
+__all__ = ["SilentPeers"]
