--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -174,6 +174,11 @@
         nested: bool,
     ) -> bool:
         """Serves one request and returns whether the connection can be reused."""
+        if self._environment.lag.last_ms and _has_hung_up(fd):
+            # The caller left before its request was read.
+            self._record_abandoned()
+            http.reset()
+            return False
         with trio.CancelScope() as scope:
             self._running[fd] = scope
             try:
@@ -222,15 +227,25 @@
         for fd in self._running:
             poll.register(fd, select.POLLRDHUP)
         for fd, _ in poll.poll(0):
-            self._environment.metrics.refusals.labels(
-                ErrorKind.CANCELLED.value, PLACE
-            ).inc()
+            self._record_abandoned()
             self._running.pop(fd).cancel()
 
+    def _record_abandoned(self) -> None:
+        kind = ErrorKind.CANCELLED.value
+        self._environment.metrics.refusals.labels(kind, PLACE).inc()
+
 
 def _is_readable(fd: int) -> bool:
+    return _has_event(fd, select.POLLIN)
+
+
+def _has_hung_up(fd: int) -> bool:
+    return _has_event(fd, select.POLLRDHUP)
+
+
+def _has_event(fd: int, event: int) -> bool:
     poll = select.poll()
-    poll.register(fd, select.POLLIN)
+    poll.register(fd, event)
     return bool(poll.poll(0))
 
 
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -139,6 +139,7 @@
         self._serving_count += 1
         try:
             self._record_caller_timeout(request, trace)
+            self._shed_if_late(request)
             bound = self._match_route(request)
             call = self._build_call(request, bound, request_id)
             trace.record_route(bound, call)
@@ -176,6 +177,22 @@
         if request.header(name):
             trace.record_caller_timeout(_parse_number(request, name, 0))
 
+    def _shed_if_late(self, request: EntryRequest) -> None:
+        """Refuses a share of new requests while the node lacks processor time.
+
+        The requests of running work are served: their failure would waste that work.
+        """
+        environment = self._environment
+        lag = environment.lag
+        if not request.nested and environment.rng.random() < lag.shed_share:
+            raise RefusedError(
+                Refusal(
+                    ErrorKind.OVERLOADED,
+                    f"the node runs {lag.lag_ms:.0f} ms late",
+                    retry_after_ms=round(lag.lag_ms),
+                )
+            )
+
     def _match_route(self, request: EntryRequest) -> BoundRoute:
         self._require_configuration()
         snapshot = self._environment.store.snapshot
@@ -216,7 +233,8 @@
         route = bound.route
         environment = self._environment
         names = environment.headers
-        now_ms = environment.now_ms()
+        # The request may have waited to be read since the loop's last turn.
+        arrived_ms = environment.now_ms() - environment.lag.last_ms
         timeout_ms = _parse_number(request, names.timeout_ms, route.timeout_ms)
         hops = _parse_number(request, names.hops, 0) + 1
         if hops > environment.settings.limits.hops:
@@ -233,7 +251,7 @@
             request_id=request_id,
             service=self._splits.choose_service(bound),
             route_class=route.route_class,
-            deadline_ms=now_ms + min(timeout_ms, route.timeout_ms),
+            deadline_ms=arrived_ms + min(timeout_ms, route.timeout_ms),
             version=environment.store.head.version,
             attempts_left=max(1, attempts),
             hops=hops,
@@ -243,7 +261,7 @@
             fingerprint=digest(
                 request.method.encode() + b" " + request.target + b"\n" + request.body
             ),
-            objective_ms=now_ms + (route.objective_ms or route.timeout_ms),
+            objective_ms=arrived_ms + (route.objective_ms or route.timeout_ms),
             priority=route.priority,
             nested=request.nested,
             answer_bytes=int(self._mean_answer_bytes.get(route.path, 0)),
--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -17,6 +17,7 @@
 from cactushook import VersionStore
 from cactushook.calls import Listing
 from cactushook.fleet import CallerLimits
+from cactushook.lag import LagMeter
 from cactushook.pacing import Pacer
 from cactushook.silence import SilentPeers
 
@@ -101,6 +102,7 @@
             self.timers.every(SETTINGS_PERIOD_MS, self._check_settings_file)
         self.pacer = Pacer(settings.link_mbps)
         self.silent_peers = SilentPeers()
+        self.lag = LagMeter()
         self.store = VersionStore()
         self.membership = Membership(self._make_own_record())
 
@@ -173,7 +175,10 @@
     async def run_timers(self) -> None:
         """Drives the timer service until cancelled."""
         while True:
-            await trio.sleep(TICK_MS / 1_000)
+            due_s = trio.current_time() + TICK_MS / 1_000
+            await trio.sleep_until(due_s)
+            self.lag.record((trio.current_time() - due_s) * 1_000)
+            self.metrics.lag.set(self.lag.lag_ms / 1_000)
             self.timers.advance(self.now_ms())
 
     def mark_peer_silent(self, address: str) -> None:
--- a/packages/cactushook-node/src/cactushook_node/logs.py
+++ b/packages/cactushook-node/src/cactushook_node/logs.py
@@ -9,7 +9,7 @@
 import typing as t
 
 from cactushook import TokenBucket
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 LOGGER = "cactushook"
 # Outcome of a request that was answered by a backend server.
@@ -22,7 +22,7 @@
 WRITE_BYTES = select.PIPE_BUF
 MAX_WRITES_PER_CALL = 64
 # Request lines per second, for answered requests and for all others.
-ANSWERED_LINES_PER_S = 150.0
+ANSWERED_LINES_PER_S = 50.0
 FAILED_LINES_PER_S = 150.0
 FLUSH_TIMEOUT_S = 0.5
 
@@ -90,7 +90,7 @@
     writer = None if stream is not None else LineWriter(sys.stdout.fileno())
     handler = logging.StreamHandler(stream or t.cast(t.TextIO, writer))
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             "%(levelname)s %(message)s",
             rename_fields={"levelname": "level", "message": "event"},
             timestamp="time",
--- a/packages/cactushook-node/src/cactushook_node/metrics.py
+++ b/packages/cactushook-node/src/cactushook_node/metrics.py
@@ -56,6 +56,9 @@
         self.silent_peers = self._gauge(
             "cactushook_silent_peers", "Nodes that do not respond at present."
         )
+        self.lag = self._gauge(
+            "cactushook_event_loop_lag_seconds", "How late the node runs its timers."
+        )
         self.added_seconds = prom.Histogram(
             "cactushook_entry_seconds",
             "Time from a request's arrival to its answer's start.",
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -133,7 +133,8 @@
         """Runs a request that another node's entry sent."""
         stream_id = message.stream_id
         try:
-            call = call_from_message(message, self.environment.now_ms())
+            arrived_ms = self.environment.now_ms() - self.environment.lag.last_ms
+            call = call_from_message(message, arrived_ms)
         except ValueError as error:
             self.environment.log.warning("call_failed", reason=repr(error))
             return
