Split keyed requests off the gatekeeper, and retry budgets off the entry

Change: the results of a gate, the decisions on keyed requests and a node's retry budgets have modules of their own; no decision changed.

--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -8,7 +8,6 @@
 from cactushook import ErrorKind
 from cactushook import Refusal
 from cactushook import RequestError
-from cactushook import RetryBudget
 from cactushook import RouteClass
 from cactushook import Router
 from cactushook import Visibility
@@ -19,8 +18,6 @@
 from cactushook.dispatch import RoutingView
 from cactushook.dispatch import SendTo
 from cactushook.fanout import Fanout
-from cactushook.retries import Budget
-from cactushook.retries import WindowBudget
 from cactushook.snapshot import BoundRoute
 from cactushook.splits import Splits
 
@@ -38,6 +35,7 @@
 from .link_pool import LinkPool
 from .logs import OUTCOME_ANSWERED
 from .reply_forwarder import ReplyForwarder
+from .retry_budgets import RetryBudgets
 from .trace import Trace
 
 MIN_RETRY_AFTER_MS = 100
@@ -46,13 +44,6 @@
 # Share of a caller's remaining time. With the random spread of up to 1.3, the caller
 # waits for at most a third of that time.
 RETRY_AFTER_SHARE = 0.25
-# Minimum number of hosts among which the fleet's retry budget is divided.
-MIN_FLEET_HOSTS = 4
-# Share of the fleet's retry budget that nodes use. The rest is a margin, because nodes
-# differ in their views of the fleet's size.
-FLEET_BUDGET_SHARE = 0.62
-# Share of the fleet's retry budget for retries after a worker reported a failure.
-WORKER_FAILED_SHARE = 0.15
 # Requests of a route whose mean answer is longer prefer near hosts.
 LARGE_ANSWER_BYTES = 32_768
 # Weight of the latest answer in a route's mean answer length.
@@ -116,9 +107,8 @@
             settings.host,
             environment.silent_peers,
         )
-        self._budgets: dict[str, Budget] = {}
+        self._budgets = RetryBudgets(environment)
         self._splits = Splits(environment.rng)
-        self._fleet_hosts = MIN_FLEET_HOSTS
         self._fanout = Fanout()
         self._mean_answer_bytes: dict[str, float] = {}
         gate.add_run_listener(self._on_run_started)
@@ -321,7 +311,7 @@
     def _create_dispatch(self, call: Call) -> Dispatch | KeyedDispatch:
         redirects = self._environment.settings.retry.redirects
         expects_large_answer = call.answer_bytes > LARGE_ANSWER_BYTES
-        budget = self._current_budget(call.service)
+        budget = self._budgets.get(call.service)
         return dispatch(call, self.router, budget, redirects, expects_large_answer)
 
     def _record_answer_bytes(self, route: str, count: int) -> None:
@@ -336,40 +326,13 @@
         if not call.resent:
             return
         for service, count in self._fanout.requests_per_run().items():
-            budget = self._current_budget(service)
-            if isinstance(budget, WindowBudget):
-                budget.charge(count)
+            self._budgets.charge(service, count)
 
     def _routing_view(self, service: str) -> RoutingView:
         environment = self._environment
         hosts = environment.membership.hosts_of_service(service)
         return RoutingView(environment.store.snapshot, hosts)
 
-    def _current_budget(self, service: str) -> Budget:
-        environment = self._environment
-        settings = environment.settings.retry
-        budget = self._budgets.get(service)
-        if budget is None:
-            if settings.ratio:
-                budget = WindowBudget(
-                    settings.ratio * FLEET_BUDGET_SHARE,
-                    0.0,
-                    settings.window_ms,
-                    settings.ratio * WORKER_FAILED_SHARE,
-                )
-            else:
-                team_file = environment.store.snapshot.services[service]
-                budget = RetryBudget(team_file.retry_budget_permille)
-            self._budgets[service] = budget
-        if isinstance(budget, WindowBudget):
-            # The largest fleet size seen counts, because hosts that this node no
-            # longer sees may still be alive and retry.
-            live = environment.membership.live_count
-            self._fleet_hosts = max(self._fleet_hosts, live)
-            budget.slack = settings.slack * FLEET_BUDGET_SHARE / self._fleet_hosts
-            budget.advance(environment.now_ms())
-        return budget
-
     async def _send_attempt(
         self, step: SendTo, request: WorkerRequest, forwarder: ReplyForwarder
     ) -> Refusal | None:
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -6,8 +6,6 @@
 
 import msgspec
 
-from . import homes
-from . import key_table
 from .admission import Admission
 from .admission import Admitted
 from .admission import MIXED_BULK_SHARE
@@ -20,9 +18,16 @@
 from .calls import Refusal
 from .crashes import CrashReport
 from .crashes import CrashTable
-from .exceptions import ERROR_RESPONSES
 from .exceptions import ErrorKind
-from .exceptions import Ran
+from .gate_verdicts import Answered
+from .gate_verdicts import DuplicateInFlight
+from .gate_verdicts import Ended
+from .gate_verdicts import Failed
+from .gate_verdicts import GateVerdict
+from .gate_verdicts import Outcome
+from .gate_verdicts import Replayed
+from .homes import Homes
+from .keyed_requests import KeyedRequests
 from .nodes import HostRecord
 from .nodes import HostState
 from .nodes import Limits
@@ -41,18 +46,6 @@
 # hosts may be cold.
 MAX_COLD_FENCES = 4
 
-# Refusals of a keyed request that fence its key, so that another host may run it.
-FENCING_KINDS = frozenset(
-    (
-        ErrorKind.OVERLOADED,
-        ErrorKind.COLD_START,
-        ErrorKind.QUEUE_TIMEOUT,
-        ErrorKind.DRAINING,
-        ErrorKind.DOMAIN_OUT,
-        ErrorKind.WORKER_UNREACHABLE,
-    )
-)
-
 # Failures that count against the worker that ran the request.
 WORKER_FAULT_KINDS = frozenset(
     (
@@ -66,69 +59,6 @@
 HANG_MS = 500.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DuplicateInFlight:
-    """A copy of the request is running; this one waits until its key settles."""
-
-    call: Call
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Replayed:
-    """The request ran before; the caller gets the stored answer."""
-
-    call: Call
-    answer: key_table.StoredAnswer
-
-
-GateVerdict: t.TypeAlias = Verdict | DuplicateInFlight | Replayed
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answered:
-    """The worker answered.
-
-    Attributes:
-        latency_ms: time until the answer began.
-        instance: identity of the worker's current instance; empty if the answer
-            omits it.
-        stored: answer to keep for copies of a keyed request, if any.
-        failed: whether the answer reports a failure of the worker.
-    """
-
-    latency_ms: float
-    instance: bytes = b""
-    stored: key_table.StoredAnswer | None = None
-    failed: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failed:
-    """The worker returned no complete answer."""
-
-    kind: ErrorKind
-    detail: str = ""
-
-
-Outcome: t.TypeAlias = Answered | Failed
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
-    """Holds the consequences of the end of a request at the worker.
-
-    Attributes:
-        verdicts: verdicts on requests that waited.
-        crashes: reports to send to the other gates of the service.
-        refusal: refusal to return to the entry, if any. An answered request has one
-            only if it is keyed and its answer was not kept.
-    """
-
-    verdicts: tuple[Verdict, ...]
-    crashes: tuple[CrashReport, ...] = ()
-    refusal: Refusal | None = None
-
-
 class Gatekeeper:
     """Holds the state of a gate and makes its decisions.
 
@@ -152,10 +82,9 @@
         self._lost_requests: collections.deque[tuple[float, Call]] = collections.deque(
             maxlen=MAX_LOST_REQUESTS
         )
-        self.homes = homes.Homes(own)
+        self._keyed = KeyedRequests(own)
         self.crashes = CrashTable()
         self.admission: Admission | None = None
-        self._keys = key_table.KeyTable()
         self._slowdown_detector = SlowdownDetector()
         self.breaker = CircuitBreaker()
         self._instance = b""
@@ -164,6 +93,11 @@
         self._draining = False
         self._version = 0
 
+    @property
+    def homes(self) -> Homes:
+        """State of the other homes of the service's keys."""
+        return self._keyed.homes
+
     def configure(self, snapshot: Snapshot, now_ms: float) -> None:
         """Applies the configuration in force."""
         self._version = snapshot.head.version
@@ -333,7 +267,7 @@
         refusal = self._refusal(call, now_ms)
         if refusal is not None:
             return [Refused(call, refusal)]
-        return [*self._give_up_refused_keys(self.admission.offer(call, now_ms))]
+        return [*self._keyed.give_up_refused(self.admission.offer(call, now_ms))]
 
     def holds(self, call: Call) -> bool:
         """Returns whether a request with the call's id runs or waits."""
@@ -341,7 +275,7 @@
 
     def resolve_duplicate(self, call: Call, epoch_ms: float) -> Replayed | Refused:
         """Returns the verdict on a duplicate whose key has settled."""
-        known = self._verdict_on_known_key(call, epoch_ms)
+        known = self._keyed.look_up(call, epoch_ms)
         if isinstance(known, Replayed | Refused):
             return known
         detail = "the first copy did not run"
@@ -356,7 +290,7 @@
         """Returns the verdicts that have become due."""
         if self.admission is None:
             return []
-        return self._give_up_refused_keys(self.admission.expire(now_ms))
+        return self._keyed.give_up_refused(self.admission.expire(now_ms))
 
     def on_request_ended(self, call: Call, outcome: Outcome, now_ms: float) -> Ended:
         """Records how an admitted request ended and frees its slot."""
@@ -379,8 +313,8 @@
         if isinstance(outcome, Failed):
             refusal = Refusal(outcome.kind, outcome.detail)
         if call.route_class is RouteClass.AT_MOST_ONCE:
-            refusal = self._settle_key(call, outcome)
-        verdicts = self._give_up_refused_keys(
+            refusal = self._keyed.settle(call, outcome)
+        verdicts = self._keyed.give_up_refused(
             admission.release(call.request_id, now_ms)
         )
         return Ended(tuple(verdicts), crashes, refusal)
@@ -403,51 +337,16 @@
         now_ms: float,
         epoch_ms: float,
     ) -> list[GateVerdict]:
-        known = self._verdict_on_known_key(call, epoch_ms)
+        known = self._keyed.look_up(call, epoch_ms)
         if known is not None:
             return [known]
         refusal = self._home_refusal(call, hosts, now_ms, epoch_ms)
+        if refusal is None:
+            refusal = self._keyed.reserve(call, epoch_ms)
         if refusal is not None:
             return [Refused(call, refusal)]
-        if not self._keys.reserve(call, epoch_ms):
-            return [Refused(call, _TABLE_FULL_REFUSAL)]
         admission = t.cast(Admission, self.admission)
-        return [*self._give_up_refused_keys(admission.offer(call, now_ms))]
-
-    def _give_up_refused_keys(self, verdicts: list[Verdict]) -> list[Verdict]:
-        return [self._give_up_if_refused(verdict) for verdict in verdicts]
-
-    def _give_up_if_refused(self, verdict: Verdict) -> Verdict:
-        is_keyed = verdict.call.route_class is RouteClass.AT_MOST_ONCE
-        if not is_keyed or not isinstance(verdict, Refused):
-            return verdict
-        return Refused(verdict.call, self._give_up_key(verdict.call, verdict.refusal))
-
-    def _give_up_key(self, call: Call, refusal: Refusal) -> Refusal:
-        """Fences a reserved key if another host may run it, or frees it."""
-        if refusal.kind not in FENCING_KINDS:
-            self._keys.release(call.key)
-            return refusal
-        self._keys.fence_reserved(call.key)
-        return dataclasses.replace(refusal, fenced=True)
-
-    def _verdict_on_known_key(self, call: Call, epoch_ms: float) -> GateVerdict | None:
-        match self._keys.look_up(call, epoch_ms):
-            case key_table.InFlight():
-                return DuplicateInFlight(call)
-            case key_table.Replay(answer):
-                return Replayed(call, answer)
-            case key_table.OutcomeUnknown(reason):
-                return Refused(call, Refusal(ErrorKind.OUTCOME_UNKNOWN, reason))
-            case key_table.Fenced():
-                return Refused(call, _KEY_FENCED_REFUSAL)
-            case key_table.Reused():
-                detail = "the key belongs to another request"
-                return Refused(call, Refusal(ErrorKind.KEY_REUSED, detail))
-            case key_table.IssuedInFuture():
-                detail = "the key was issued in the future"
-                return Refused(call, Refusal(ErrorKind.REQUEST_INVALID, detail))
-        return None
+        return [*self._keyed.give_up_refused(admission.offer(call, now_ms))]
 
     def _home_refusal(
         self,
@@ -456,30 +355,17 @@
         now_ms: float,
         epoch_ms: float,
     ) -> Refusal | None:
-        self.homes.record_departures(hosts, epoch_ms)
-        match self.homes.classify_key(call, hosts):
-            case homes.HigherRanked(host):
-                detail = f"host {host.name!r} ranks higher for this key"
-                return Refusal(ErrorKind.NOT_HOME, detail, home=host)
-            case homes.OutcomeUnknown(reason):
-                return Refusal(ErrorKind.OUTCOME_UNKNOWN, reason)
-            case homes.NotYetHome():
-                return self._fence_key(call, epoch_ms)
+        refusal = self._keyed.home_refusal(call, hosts, epoch_ms)
+        if refusal is not None:
+            return refusal
         admission = t.cast(Admission, self.admission)
         should_pass_on = (
             admission.is_full_while_cold(now_ms) and len(call.fences) < MAX_COLD_FENCES
         )
         if should_pass_on or not admission.accepting:
-            return self._fence_key(call, epoch_ms)
+            return self._keyed.fence(call, epoch_ms)
         return self._refusal(call, now_ms)
 
-    def _fence_key(self, call: Call, epoch_ms: float) -> Refusal:
-        return (
-            _KEY_FENCED_REFUSAL
-            if self._keys.fence(call, epoch_ms)
-            else _TABLE_FULL_REFUSAL
-        )
-
     def _listed_limits(self, limits: Limits) -> Limits:
         if self._listing is None:
             return limits
@@ -566,30 +452,11 @@
             self.crashes.record_crash(item, now_ms)
         return reports
 
-    def _settle_key(self, call: Call, outcome: Outcome) -> Refusal | None:
-        match outcome:
-            case Answered(stored=key_table.StoredAnswer() as stored):
-                self._keys.record_answer(call.key, stored)
-                return None
-            case Failed(kind, detail) if ERROR_RESPONSES[kind].ran is Ran.NO:
-                return self._give_up_key(call, Refusal(kind, detail))
-            case Failed(kind, detail):
-                reason = detail or kind.value
-            case _:
-                reason = "the answer was too large to keep"
-        self._keys.mark_outcome_unknown(call.key, reason)
-        return Refusal(ErrorKind.OUTCOME_UNKNOWN, reason)
-
 
 def _start_identity(listing: Listing | None) -> tuple[str, int] | None:
     return None if listing is None else (listing.instance, listing.started_ms)
 
 
-_KEY_FENCED_REFUSAL = Refusal(
-    ErrorKind.KEY_FENCED, "this host will not run the key", fenced=True
-)
-_TABLE_FULL_REFUSAL = Refusal(ErrorKind.OVERLOADED, "the key table is full")
-
 __all__ = [
     "Admitted",
     "Answered",
