Leave links to silent hosts, so that they are found again at once

Cause: a host behind a partition that heals was reached over the old connection, whose lost bytes are repeated at growing intervals; idle links to dead hosts were kept until a request broke on them. The list of probes was rebuilt from all hosts 20 times a second. Change: a link whose ping is unanswered carries no new requests, and is closed if it is idle; probes then use new connections. Silent hosts are probed together each 0.7 s.

--- a/features/silent_hosts.feature
+++ b/features/silent_hosts.feature
@@ -26,7 +26,7 @@
   Scenario: silent hosts are probed until they respond, are gone or are forgotten
     Given a node that finds 3 hosts silent, 0 of them reported by a peer
     When 1 host responds and 1 is no longer listed
-    Then 1 host is probed about every 700 ms
+    Then 1 host is probed
     And none is probed after 31 s
 
   Scenario: the only host of a service gets requests although it is silent
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -59,9 +59,9 @@
                 raise
 
     def find(self, address: str) -> Link | None:
-        """Returns the open link to a node, if there is one."""
+        """Returns the link that carries new requests to a node, if there is one."""
         link = self._links.get(address)
-        return None if link is None or link.closed else link
+        return link if _is_usable(link) else None
 
     def open_links(self) -> list[tuple[str, Link]]:
         """Returns the links that are used for requests, with their addresses."""
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -84,6 +84,7 @@
         self._used_ms = environment.timers.now_ms
         self.received_ms = environment.now_ms()
         self._peer_retired = False
+        self._is_silent = False
         self._scope = trio.CancelScope()
 
     async def send(self, message: wire.Message) -> None:
@@ -157,6 +158,8 @@
 
     def abort(self, reason: str) -> None:
         """Closes the connection because of an error, and counts and logs the reason."""
+        if self.closed:
+            return
         self.environment.metrics.links_ended.labels(reason).inc()
         self.environment.log.warning("link_ended", reason=reason)
         self._close()
@@ -183,19 +186,28 @@
         match liveness:
             case Liveness.SUSPECT:
                 if self._liveness.is_ping_unanswered:
-                    self._mark_peer_silent()
+                    self.on_ping_unanswered()
                 self.send_soon(wire.PingMessage(False))
             case Liveness.SILENT:
-                self._mark_peer_silent()
+                self.on_ping_unanswered()
                 self._on_silence()
             case Liveness.DEAD:
                 self.abort("peer_unresponsive")
             case Liveness.ALIVE:
                 self._end_if_idle(now_ms)
 
-    def _mark_peer_silent(self) -> None:
+    def on_ping_unanswered(self) -> None:
+        """Leaves the link to the work that it carries, or closes it if it is idle.
+
+        A host that responds again is reached sooner over a new connection: this one
+        repeats its lost bytes at growing intervals.
+        """
         if self.peer_hello is not None:
             self.environment.mark_peer_silent(self.peer_hello.host.address)
+        if not (self._exchanges or self._scopes):
+            self.abort("peer_unresponsive")
+        elif not self.retired:
+            self._retire(answer=False)
 
     def _record_received(self) -> None:
         environment = self.environment
@@ -211,9 +223,9 @@
         Work that cannot be repeated, and the work that runs here for the peer, keep the
         connection: the peer may only be slow.
         """
-        if not self.retired:
+        if not self._is_silent:
+            self._is_silent = True
             self.environment.log.warning("peer_silent")
-            self._retire(answer=False)
         for exchange in list(self._exchanges.values()):
             if exchange.is_repeatable and not exchange.has_started:
                 exchange.give_up("the node is silent")
--- a/packages/cactushook-node/src/cactushook_node/peer_watch.py
+++ b/packages/cactushook-node/src/cactushook_node/peer_watch.py
@@ -8,7 +8,8 @@
 from .links import Link
 from .supervision import TaskStarter
 
-PERIOD_MS = 50
+REPORT_PERIOD_MS = 50
+PROBE_PERIOD_MS = 700
 # A node that was asked because of a report must respond within this time.
 ANSWER_TIMEOUT_MS = 200
 # Peers that are told of a silent node; those that have asked it tell others.
@@ -33,7 +34,8 @@
         self._links = links
         self._tasks = tasks
         self._connecting: set[str] = set()
-        environment.timers.every(PERIOD_MS, self._on_timer)
+        environment.timers.every(REPORT_PERIOD_MS, self._report_silent_peers)
+        environment.timers.every(PROBE_PERIOD_MS, self._probe_silent_peers)
 
     def on_report(self, message: wire.Message) -> None:
         """Asks the nodes that a peer reported as silent, if they are in use here."""
@@ -44,33 +46,34 @@
                 continue
             link = self._links.find(address)
             if link is not None:
-                self._ask(link, address)
+                self._ask(link)
 
-    def _ask(self, link: Link, address: str) -> None:
+    def _ask(self, link: Link) -> None:
         asked_ms = self._environment.now_ms()
 
         def check(now_ms: float) -> None:
             if link.received_ms < asked_ms and not link.closed:
-                self._environment.mark_peer_silent(address)
+                link.on_ping_unanswered()
 
         link.send_soon(wire.PingMessage(False))
         self._environment.timers.after(ANSWER_TIMEOUT_MS, check)
 
-    def _on_timer(self, now_ms: float) -> None:
-        silent_peers = self._environment.silent_peers
-        addresses = silent_peers.take_unreported()
-        if addresses:
-            self._report(addresses)
+    def _probe_silent_peers(self, now_ms: float) -> None:
+        environment = self._environment
+        silent_peers = environment.silent_peers
         if not len(silent_peers):
             return
-        listed = {host.address for host in self._environment.membership.hosts}
-        for address in silent_peers.take_due_probes(listed, now_ms):
+        listed = {host.address for host in environment.membership.hosts}
+        for address in silent_peers.select_probes(listed, now_ms):
             self._probe(address)
-        self._environment.metrics.silent_peers.set(len(silent_peers))
+        environment.metrics.silent_peers.set(len(silent_peers))
 
-    def _report(self, addresses: tuple[str, ...]) -> None:
-        """Tells some of the peers; a peer that is silent itself learns nothing."""
+    def _report_silent_peers(self, now_ms: float) -> None:
+        """Tells some of the peers that respond."""
         silent_peers = self._environment.silent_peers
+        addresses = silent_peers.take_unreported()
+        if not addresses:
+            return
         links = [
             link
             for address, link in self._links.open_links()
--- a/packages/cactushook/src/cactushook/silence.py
+++ b/packages/cactushook/src/cactushook/silence.py
@@ -7,7 +7,6 @@
 import collections
 import typing as t
 
-PROBE_PERIOD_MS = 700.0
 # A silent node that was not heard from for so long is left to the host list.
 FORGET_MS = 30_000.0
 # A node that a peer reported in this time is not reported again.
@@ -25,7 +24,6 @@
         self._silent_since_ms: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._next_probe_ms: dict[str, float] = {}
         self._reported_ms: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -43,20 +41,16 @@
         if address in self._silent_since_ms:
             return False
         self._silent_since_ms[address] = now_ms
-        self._next_probe_ms[address] = now_ms + PROBE_PERIOD_MS
         if not self._was_reported(address, now_ms):
             self._record_report(address, now_ms)
             self._unreported.append(address)
         if len(self._silent_since_ms) > MAX_TRACKED:
-            self._forget(next(iter(self._silent_since_ms)))
+            self._silent_since_ms.popitem(last=False)
         return True
 
     def mark_responding(self, address: str) -> bool:
         """Records a sign of life of a node; returns whether it was silent."""
-        if address not in self._silent_since_ms:
-            return False
-        self._forget(address)
-        return True
+        return self._silent_since_ms.pop(address, None) is not None
 
     def record_report(self, address: str, now_ms: float) -> bool:
         """Records a peer's report; returns whether this node should ask for itself."""
@@ -70,27 +64,17 @@
         self._unreported = []
         return addresses
 
-    def take_due_probes(
-        self, listed: t.Container[str], now_ms: float
-    ) -> tuple[str, ...]:
-        """Returns the silent nodes to ask again now.
+    def select_probes(self, listed: t.Container[str], now_ms: float) -> tuple[str, ...]:
+        """Returns the silent nodes to ask again, and forgets those that are gone.
 
         Args:
-            listed: addresses of the nodes that the host list contains; others are
-                forgotten.
+            listed: addresses of the nodes that the host list contains.
             now_ms: the time.
         """
         for address, since_ms in list(self._silent_since_ms.items()):
             if address not in listed or now_ms - since_ms > FORGET_MS:
-                self._forget(address)
-        due = tuple(a for a, at_ms in self._next_probe_ms.items() if at_ms <= now_ms)
-        for address in due:
-            self._next_probe_ms[address] = now_ms + PROBE_PERIOD_MS
-        return due
-
-    def _forget(self, address: str) -> None:
-        del self._silent_since_ms[address]
-        del self._next_probe_ms[address]
+                del self._silent_since_ms[address]
+        return tuple(self._silent_since_ms)
 
     def _was_reported(self, address: str, now_ms: float) -> bool:
         reported_ms = self._reported_ms.get(address, float("-inf"))
