Do not serve requests whose callers left before they were read

Change: before the first request of a connection, and while the loop is late, the edge checks whether the caller has hung up.

--- a/features/starting.feature
+++ b/features/starting.feature
@@ -13,6 +13,11 @@
     When a request is sent, and the edge waits although the node does not become ready
     Then the request is served all the same
 
+  Scenario: a caller that leaves before the node starts is not served
+    Given an edge whose addresses are bound while its node starts
+    When a request is sent whose caller leaves, and the edge accepts callers then
+    Then the request is not passed on
+
   Scenario: an address in use does not keep the other one
     Given a node's settings whose internal address is in use
     Then binding its addresses fails and names "internal_listen"
--- a/features/steps/starting.py
+++ b/features/steps/starting.py
@@ -77,6 +77,28 @@
     assert context.answer.startswith(b"HTTP/1.1 200 "), context.answer
 
 
+@when("a request is sent whose caller leaves, and the edge accepts callers then")
+def caller_leaves_early(context):
+    async def body():
+        async with trio.open_nursery() as nursery:
+            stream = await edge_fixtures.connect(context.env.settings.public_listen)
+            await stream.send_all(REQUEST)
+            await stream.aclose()
+            await nursery.start(context.edge.serve)
+            metric = "cactushook_refusals"
+            await edge_fixtures.wait_until(
+                lambda: edge_fixtures.counted_all(context.env, metric)
+            )
+            nursery.cancel_scope.cancel()
+
+    trio.run(body)
+
+
+@then("the request is not passed on")
+def not_passed_on(context):
+    assert not context.entry.requests
+
+
 @given("a node's settings whose internal address is in use")
 def internal_address_taken(context):
     context.env = edge_fixtures.environment()
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -174,8 +174,10 @@
         nested: bool,
     ) -> bool:
         """Serves one request and returns whether the connection can be reused."""
-        if self._environment.lag.last_ms and _has_hung_up(fd):
-            # The caller left before its request was read.
+        # A new connection may have waited to be accepted, and any one while the loop
+        # was late; its caller may have left meanwhile.
+        may_have_waited = http.is_first_request or self._environment.lag.last_ms > 0
+        if may_have_waited and _has_hung_up(fd):
             self._record_abandoned()
             http.reset()
             return False
--- a/packages/cactushook-node/src/cactushook_node/http_server.py
+++ b/packages/cactushook-node/src/cactushook_node/http_server.py
@@ -102,6 +102,11 @@
         """Whether no part of a request has arrived."""
         return self._http.their_state is h11.IDLE and not self._http.trailing_data[0]
 
+    @property
+    def is_first_request(self) -> bool:
+        """Whether no request of the connection has been answered yet."""
+        return self._served_count == 0
+
     async def receive(self) -> HttpRequest | None:
         """Returns the next request, or None if the caller sends no more.
 
