Say plainly how reports of silent hosts are used

Cause: comments of the new modules spoke in a figure, one of them was wrong about who sends reports on. Change: comments and two private names; no decision.

--- a/packages/cactushook-node/src/cactushook_node/peer_watch.py
+++ b/packages/cactushook-node/src/cactushook_node/peer_watch.py
@@ -1,4 +1,4 @@
-"""Watches nodes that do not respond: tells peers, checks reports and probes."""
+"""Reports nodes that do not respond to peers, checks reports and probes such nodes."""
 
 from cactushook import RequestError
 
@@ -10,9 +10,9 @@
 
 REPORT_PERIOD_MS = 50
 PROBE_PERIOD_MS = 700
-# A node that was asked because of a report must respond within this time.
+# A node that is pinged because of a report must respond within this time.
 ANSWER_TIMEOUT_MS = 200
-# Peers that are told of a silent node; those that have asked it tell others.
+# Maximum number of peers that get a report.
 MAX_TOLD_PEERS = 64
 MAX_REPORTED_ADDRESSES = 256
 MAX_CONNECTING = 8
@@ -38,7 +38,7 @@
         environment.timers.every(PROBE_PERIOD_MS, self._probe_silent_peers)
 
     def on_report(self, message: wire.Message) -> None:
-        """Asks the nodes that a peer reported as silent, if they are in use here."""
+        """Pings the nodes that a peer reported as silent, if they are in use here."""
         environment = self._environment
         now_ms = environment.now_ms()
         for address in message.addresses[:MAX_REPORTED_ADDRESSES]:
@@ -46,17 +46,17 @@
                 continue
             link = self._links.find(address)
             if link is not None:
-                self._ask(link)
+                self._check(link)
 
-    def _ask(self, link: Link) -> None:
-        asked_ms = self._environment.now_ms()
+    def _check(self, link: Link) -> None:
+        pinged_ms = self._environment.now_ms()
 
-        def check(now_ms: float) -> None:
-            if link.received_ms < asked_ms and not link.closed:
+        def on_timeout(now_ms: float) -> None:
+            if link.received_ms < pinged_ms and not link.closed:
                 link.on_ping_unanswered()
 
         link.send_soon(wire.PingMessage(False))
-        self._environment.timers.after(ANSWER_TIMEOUT_MS, check)
+        self._environment.timers.after(ANSWER_TIMEOUT_MS, on_timeout)
 
     def _probe_silent_peers(self, now_ms: float) -> None:
         environment = self._environment
--- a/packages/cactushook/src/cactushook/silence.py
+++ b/packages/cactushook/src/cactushook/silence.py
@@ -1,13 +1,13 @@
 """Tracks nodes that do not respond, so that others get the requests meanwhile.
 
-A node tells its peers which nodes it finds silent. A peer never takes its word for it:
-it asks the silent node itself, since a node that is cut off finds all others silent.
+A node reports silent nodes to its peers. A peer does not rely on the report, but pings
+the reported node itself, since a node that is cut off finds all others silent.
 """
 
 import collections
 import typing as t
 
-# A silent node that was not heard from for so long is left to the host list.
+# A node that stays silent for longer is no longer tracked.
 FORGET_MS = 30_000.0
 # A node that a peer reported in this time is not reported again.
 REPORT_TTL_MS = 3_000.0
@@ -53,7 +53,7 @@
         return self._silent_since_ms.pop(address, None) is not None
 
     def record_report(self, address: str, now_ms: float) -> bool:
-        """Records a peer's report; returns whether this node should ask for itself."""
+        """Records a peer's report; returns whether to ping the reported node."""
         is_new = not self._was_reported(address, now_ms)
         self._record_report(address, now_ms)
         return is_new and not self.is_silent(address)
