Log why a caller's answer was cut

The entry's log could not tell the causes apart: such a request was logged as cancelled, as if its caller had left, without its attempts; a caller that read too slowly looked the same.

The edge logs answer_cut with the request's id and the reason, also for a slow caller, and request_ended names the attempt and the error kind that cut the answer.

--- a/features/edge_callers.feature
+++ b/features/edge_callers.feature
@@ -57,6 +57,13 @@
       | a connection close                     |
       | a length that is too long for its body |
 
+  # Guards against a cut answer that the log shows as if its caller had left.
+  Scenario: a truncated answer is logged with its cause
+    Given an edge whose entry truncates an answer framed by chunks
+    And a recorded log
+    When a caller reads that answer
+    Then the log says that an answer was cut because of "peer_lost"
+
   Scenario: an unexpected error in the entry ends one request only
     Given an edge whose entry fails unexpectedly
     When a caller sends two requests
--- a/features/steps/edge_callers.py
+++ b/features/steps/edge_callers.py
@@ -1,5 +1,8 @@
 """Steps that send raw requests to an edge."""
 
+import logging
+import logging.handlers
+
 import h11
 import msgspec
 import trio
@@ -243,6 +246,21 @@
     raise AssertionError(f"the truncated answer looks complete: {context.answer!r}")
 
 
+@given("a recorded log")
+def recorded_log(context):
+    logger = logging.getLogger("cactushook.node")
+    handler = logging.handlers.BufferingHandler(capacity=1_000)
+    logger.addHandler(handler)
+    context.resources.callback(logger.removeHandler, handler)
+    context.log_records = handler.buffer
+
+
+@then('the log says that an answer was cut because of "{kind}"')
+def cut_logged(context, kind):
+    cuts = [r for r in context.log_records if r.getMessage() == "answer_cut"]
+    assert len(cuts) == 1 and cuts[0].reason.startswith(kind), cuts
+
+
 @when("a caller sends two requests")
 def two_requests(context):
     raw = GET + b"Connection: close\r\n\r\n"
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -15,10 +15,12 @@
 from .entry import EntryRequest
 from .environment import Environment
 from .environment import Readiness
+from .headers import find_header
 from .http_server import AnswerTruncatedError
 from .http_server import CallerGoneError
 from .http_server import HttpConnection
 from .http_server import HttpRequest
+from .logs import MAX_REQUEST_ID_CHARACTERS
 
 DISCONNECT_SWEEP_MS = 100
 # Accepted at the most while the listeners close, so that a flood cannot delay a stop.
@@ -187,10 +189,13 @@
                 await self._serve(http, request, internal, nested)
             except AnswerTruncatedError as error:
                 self._environment.metrics.answers_cut.labels(error.reason).inc()
+                self._log_answer_cut(request, str(error))
                 http.reset()
                 return False
             except CallerGoneError as error:
                 self._environment.metrics.refusals.labels(error.kind.value, PLACE).inc()
+                if error.kind is ErrorKind.CALLER_TOO_SLOW:
+                    self._log_answer_cut(request, error.kind.value)
                 http.reset()
                 return False
             finally:
@@ -232,6 +237,15 @@
             self._record_abandoned()
             self._running.pop(fd).cancel()
 
+    def _log_answer_cut(self, request: HttpRequest, reason: str) -> None:
+        environment = self._environment
+        request_id = find_header(request.headers, environment.headers.request_id)
+        environment.log.warning(
+            "answer_cut",
+            request_id=request_id.decode("latin-1")[:MAX_REQUEST_ID_CHARACTERS],
+            reason=reason,
+        )
+
     def _record_abandoned(self) -> None:
         kind = ErrorKind.CANCELLED.value
         self._environment.metrics.refusals.labels(kind, PLACE).inc()
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -282,7 +282,7 @@
         )
         held_reply: ReplyStart | None = None
         while isinstance(step, SendTo):
-            forwarder = ReplyForwarder(self.router, step, environment, emit)
+            forwarder = ReplyForwarder(self.router, step, environment, emit, trace)
             refusal = await self._send_attempt(step, request, forwarder)
             trace.record_attempt(step.host.name, refusal)
             if refusal is None:
--- a/packages/cactushook-node/src/cactushook_node/reply_forwarder.py
+++ b/packages/cactushook-node/src/cactushook_node/reply_forwarder.py
@@ -15,6 +15,7 @@
 from .http_messages import ReplyEvent
 from .http_messages import ReplyRefused
 from .http_messages import ReplyStart
+from .trace import Trace
 
 _SERVER_ERROR = 500
 
@@ -32,10 +33,16 @@
         step: the attempt.
         environment: the node's central object.
         emit: receives the answer's events.
+        trace: records why an answer was truncated.
     """
 
     def __init__(
-        self, router: Router, step: SendTo, environment: Environment, emit: Emit
+        self,
+        router: Router,
+        step: SendTo,
+        environment: Environment,
+        emit: Emit,
+        trace: Trace,
     ) -> None:
         self.refusal: Refusal | None = None
         self.held_reply: ReplyStart | None = None
@@ -46,6 +53,7 @@
         self._call = step.call
         self._environment = environment
         self._emit = emit
+        self._trace = trace
         self._started = False
 
     async def emit(self, event: ReplyEvent) -> None:
@@ -69,6 +77,9 @@
             return
         self._started = True
         match event:
+            case ReplyRefused(kind, detail):
+                self._trace.record_attempt(self._host, Refusal(kind, detail))
+                self._trace.outcome = kind.value
             case ReplyStart():
                 self.sent_bytes += len(event.body)
             case ReplyChunk(data):
