--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -140,8 +140,22 @@
             self._record_failure(group)
         finally:
             ticks.cancel()
+            self._log_requests_lost()
             self._close()
 
+    def _log_requests_lost(self) -> None:
+        """Logs a connection that the peer or the network ended within requests."""
+        if self.closed or not (self._exchanges or self._scopes):
+            return
+        peer = self.peer_hello
+        self.environment.log.warning(
+            "requests_lost",
+            address=peer.host.address if peer is not None else "",
+            retired=self.retired,
+            sent_count=len(self._exchanges),
+            served_count=len(self._scopes),
+        )
+
     @property
     def _buffer_limit_bytes(self) -> int:
         return SEND_BUFFER_BYTES + 2 * self.environment.settings.limits.frame_bytes
@@ -243,6 +257,10 @@
 
     def _retire(self, answer: bool) -> None:
         self.retired = True
+        peer = self.peer_hello
+        self.environment.log.debug(
+            "link_retired", address=peer.host.address if peer is not None else ""
+        )
         self.send_soon(wire.RetireMessage(answer))
 
     async def _send_frames(self) -> None:
