--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -11,12 +11,9 @@
 from . import wire
 from .environment import Environment
 from .exchanges import Exchange
-from .http_messages import ReplyChunk
-from .http_messages import ReplyEvent
-from .http_messages import ReplyRefused
-from .http_messages import ReplyStart
 from .liveness import Liveness
 from .liveness import LivenessMonitor
+from .reply_messages import event_from_message
 
 SEND_BUFFER_BYTES = 1_048_576
 WRITE_BYTES = 262_144
@@ -338,7 +335,7 @@
         if exchange is None:
             self.environment.metrics.late_answers.inc()
             return
-        exchange.deliver(_event_from_message(message))
+        exchange.deliver(event_from_message(message))
 
     def _grant_credit(self, message: wire.Message) -> None:
         semaphore = self._call_credits.get(message.stream_id)
@@ -378,26 +375,3 @@
                 fenced=False,
             )
         )
-
-
-def _event_from_message(message: wire.Message) -> ReplyEvent:
-    match message:
-        case wire.ReplyMessage():
-            return ReplyStart(
-                message.status,
-                tuple((header.name, header.value) for header in message.headers),
-                message.body,
-                message.last,
-                wire.load_from_message(message.load),
-            )
-        case wire.ChunkMessage():
-            return ReplyChunk(message.data, message.last)
-        case _:
-            return ReplyRefused(
-                wire.error_kind_from_code(message.kind),
-                message.detail,
-                wire.load_from_message(message.load),
-                wire.home_from_message(message.home),
-                message.fenced,
-                message.retry_after_ms,
-            )
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -23,7 +23,6 @@
 from .gate import Gate
 from .http_messages import ReplyChunk
 from .http_messages import ReplyEvent
-from .http_messages import ReplyRefused
 from .http_messages import ReplyStart
 from .http_messages import WorkerRequest
 from .join_protocol import JoinProtocol
@@ -33,6 +32,7 @@
 from .peer_watch import PeerWatch
 from .platform import HttpPlatform
 from .replication import Replication
+from .reply_messages import reply_to_message
 from .settings import Settings
 from .supervision import Supervisor
 
@@ -144,7 +144,7 @@
             if isinstance(event, ReplyChunk):
                 await link.acquire_credit(stream_id)
             await self._pace(event, reservation)
-            await link.send(_reply_to_message(stream_id, event, self.gate))
+            await link.send(reply_to_message(stream_id, event, self.gate.load))
 
         request = WorkerRequest(
             message.method,
@@ -258,31 +258,6 @@
         self._nursery.cancel_scope.cancel()
 
 
-def _reply_to_message(stream_id: int, event: ReplyEvent, gate: Gate) -> wire.Message:
-    match event:
-        case ReplyStart(status, headers, body, last, load):
-            return wire.ReplyMessage(
-                stream_id=stream_id,
-                status=status,
-                headers=[wire.Header(name, value) for name, value in headers],
-                body=body,
-                last=last,
-                load=wire.load_to_message(load),
-            )
-        case ReplyChunk(data, last):
-            return wire.ChunkMessage(stream_id, data, last)
-        case ReplyRefused(kind, detail, load, home, fenced):
-            return wire.RefusalMessage(
-                stream_id=stream_id,
-                kind=kind.value,
-                detail=detail,
-                load=wire.load_to_message(load or gate.load()),
-                home=[wire.host_to_message(home)] if home is not None else [],
-                fenced=fenced,
-                retry_after_ms=event.retry_after_ms,
-            )
-
-
 async def run_node(
     settings: Settings,
     settings_file: pathlib.Path,
