Do not close a connection between nodes while it carries an answer

What callers saw: an answer cut in the middle, its connection reset (LOST).

Cause: a connection counted as idle once no request was open on it. At the gate a request ends when the last part of its answer is queued, not when it is sent. A connection that was being left ended at the next tick, and one whose peer left a ping unanswered, also after a third node's report, at once, both with up to 256 KB of answers unwritten. What was written could be lost too: a close with unread bytes is a reset. Since links to silent hosts are left, a slow peer is enough for this.

Change: a link is idle only when all frames are written. A link on which this node has answered is left, and given up only when the peer stays silent. An idle link that both sides have left ends one direction after the other.

Evidence: on the code before, both examples of link_closing fail: the connection ended before the answer.

--- /dev/null
+++ b/features/steps/link_closing.py
@@ -0,0 +1,123 @@
+"""Steps on connections between nodes that end while they carry answers."""
+
+import socket
+
+import trio
+import trio.testing
+from behave import given
+from behave import then
+from behave import when
+from cactushook_node import wire
+from cactushook_node.links import Link
+
+from features import edge_fixtures
+from features import link_fixtures
+
+BODY = bytes(range(256)) * 400
+TICK_MS = 500
+READ_BYTES = 100_000
+SEND_BUFFER_BYTES = 4_096
+
+
+def _narrow_stream_pair():
+    """Returns the ends of a connection that holds few bytes that are not read."""
+    ends = trio.socket.socketpair()
+    for end in ends:
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    return [trio.SocketStream(end) for end in ends]
+
+
+async def _read_until(far, decoder, kind):
+    """Returns the first message of a kind, or None if the stream ends before."""
+    try:
+        while data := await far.receive_some(READ_BYTES):
+            for message in decoder.feed(data):
+                if isinstance(message, kind):
+                    return message
+    except trio.BrokenResourceError:
+        pass
+    return None
+
+
+async def _read_all(far, decoder):
+    """Reads what the other end has sent so far."""
+    with trio.move_on_after(0.05):
+        await _read_until(far, decoder, wire.ReplyMessage)
+
+
+async def _tick(environment, count):
+    for _ in range(count):
+        environment.timers.advance(environment.timers.now_ms + TICK_MS)
+        await trio.testing.wait_all_tasks_blocked()
+
+
+@given("a gate whose answer is on its way to an entry that reads slowly")
+def answer_on_its_way(context):
+    context.environment = edge_fixtures.environment()
+
+
+class SlowHandler(link_fixtures.Handler):
+    """Answers a request with its body once the test releases it."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = trio.Event()
+
+    async def on_call(self, link, call):
+        await self.released.wait()
+        await super().on_call(link, call)
+
+
+async def _run_link(link, stream):
+    async with stream:
+        await link.run()
+
+
+def _run_event(context, before_answer, after_answer):
+    """Causes events before and after a gate answers; reads the answer afterwards."""
+
+    async def body(nursery):
+        near, far = _narrow_stream_pair()
+        handler = SlowHandler()
+        link = Link(context.environment, near, handler)
+        nursery.start_soon(_run_link, link, near)
+        decoder = wire.FrameDecoder(2 * len(BODY))
+        await _read_until(far, decoder, wire.Hello)
+        await far.send_all(wire.encode(link_fixtures.call(1, body=BODY)))
+        await before_answer(link, far)
+        await _read_all(far, decoder)
+        handler.released.set()
+        await trio.testing.wait_all_tasks_blocked()
+        await after_answer(link, far)
+        await _tick(context.environment, 2)
+        context.answer = await _read_until(far, decoder, wire.ReplyMessage)
+
+    link_fixtures.run(body)
+
+
+async def _nothing(link, far):
+    pass
+
+
+async def _leave(link, far):
+    await far.send_all(wire.encode(wire.RetireMessage(False)))
+
+
+async def _leave_unanswered(link, far):
+    link.on_ping_unanswered()
+
+
+@when("the entry left the connection while the request ran")
+def entry_leaves(context):
+    _run_event(context, _leave, _nothing)
+
+
+@when("the gate takes the entry for silent")
+def taken_for_silent(context):
+    _run_event(context, _nothing, _leave_unanswered)
+
+
+@then("the entry gets the whole answer before the connection ends")
+def whole_answer(context):
+    assert context.answer is not None, "the connection ended before the answer"
+    assert context.answer.body == BODY, len(context.answer.body)
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -16,10 +16,12 @@
 from .reply_messages import event_from_message
 
 SEND_BUFFER_BYTES = 1_048_576
-WRITE_BYTES = 262_144
+WRITE_BYTES = 65_536
 RECEIVE_BYTES = 65_536
 WATCH_PERIOD_MS = 300
 IDLE_LIMIT_MS = 30_000
+# How long a connection that has ended here waits for the peer to end it too.
+CLOSE_LIMIT_MS = 2_000
 PLACE = "link"
 
 
@@ -44,8 +46,9 @@
 
     A link that was idle for ``IDLE_LIMIT_MS`` is retired: before the connection closes,
     each side announces that it sends no further requests, so that none is lost. A link
-    to a silent peer is retired too, but kept for the answers to work that cannot be
-    repeated.
+    to a silent peer is retired too, but kept for the answers that it still carries. The
+    connection then ends in both directions one after the other, since a close with
+    unread bytes would discard what the peer has not received yet.
 
     Args:
         environment: the node's central object.
@@ -71,6 +74,9 @@
         self._stream = stream
         self._handler = handler
         self._outgoing = bytearray()
+        # Includes the bytes that are being written.
+        self._unsent_bytes = 0
+        self._has_answered = False
         self._frames_ready = trio.lowlevel.ParkingLot()
         self._buffer_space = trio.lowlevel.ParkingLot()
         self._exchanges: dict[int, Exchange] = {}
@@ -103,10 +109,22 @@
             return False
         self._used_ms = self.environment.timers.now_ms
         self._outgoing += frame
+        self._unsent_bytes += len(frame)
+        self._has_answered |= isinstance(message, wire.ANSWER_MESSAGES)
         self._frames_ready.unpark()
         self._count("out", message, len(frame))
         return True
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is open and all frames have been written."""
+        return not (self._exchanges or self._scopes or self._unsent_bytes)
+
+    def retire(self) -> None:
+        """Leaves the link, which ends once both sides have left it and it is idle."""
+        if not self.retired:
+            self._retire(answer=False)
+
     def open_exchange(self, is_repeatable: bool = True) -> Exchange:
         """Returns the exchange for a new request."""
         exchange = Exchange(self, next(self._stream_ids), is_repeatable)
@@ -190,9 +208,12 @@
 
     def _on_tick(self, now_ms: float) -> None:
         """Checks whether the peer responds and whether the link is idle."""
+        if self.closed:
+            return
+        awaits_peer = self.retired and not self._peer_retired
         liveness = self._liveness.tick(
-            has_open_requests=bool(self._exchanges or self._scopes),
-            has_unsent_frames=bool(self._outgoing),
+            has_open_requests=bool(self._exchanges or self._scopes or awaits_peer),
+            has_unsent_frames=bool(self._unsent_bytes),
         )
         match liveness:
             case Liveness.SUSPECT:
@@ -215,10 +236,15 @@
         """
         if self.peer_hello is not None:
             self.environment.mark_peer_silent(self.peer_hello.host.address)
-        if not (self._exchanges or self._scopes):
+        if self._has_nothing_to_deliver:
             self.abort("peer_unresponsive")
-        elif not self.retired:
-            self._retire(answer=False)
+        else:
+            self.retire()
+
+    @property
+    def _has_nothing_to_deliver(self) -> bool:
+        """Whether no request is open and no answer can be on its way."""
+        return not (self._exchanges or self._scopes or self._has_answered)
 
     def _record_received(self) -> None:
         environment = self.environment
@@ -240,17 +266,24 @@
         for exchange in list(self._exchanges.values()):
             if exchange.is_repeatable and not exchange.has_started:
                 exchange.give_up("the node is silent")
-        if not (self._exchanges or self._scopes):
+        if self._has_nothing_to_deliver:
             self.abort("peer_unresponsive")
 
     def _end_if_idle(self, now_ms: float) -> None:
-        if self._exchanges or self._scopes or self._outgoing:
+        if not self.is_idle:
             return
         if self.retired and self._peer_retired:
-            self._close()
-            self._scope.cancel()
-        elif not self.retired and now_ms - self._used_ms >= IDLE_LIMIT_MS:
-            self._retire(answer=False)
+            self._end_sending()
+        elif now_ms - self._used_ms >= IDLE_LIMIT_MS:
+            self.retire()
+
+    def _end_sending(self) -> None:
+        """Closes the link; the connection ends when the peer has ended it too."""
+        self._close()
+        self._frames_ready.unpark()
+        self.environment.timers.after(
+            CLOSE_LIMIT_MS, lambda now_ms: self._scope.cancel()
+        )
 
     def _retire(self, answer: bool) -> None:
         self.retired = True
@@ -261,17 +294,21 @@
         self.send_soon(wire.RetireMessage(answer))
 
     async def _send_frames(self) -> None:
-        while True:
-            while not self._outgoing:
+        while not self.closed:
+            while not (self._outgoing or self.closed):
                 await self._frames_ready.park()
             data, self._outgoing = self._outgoing, bytearray()
             self._buffer_space.unpark_all()
             await self._write(data)
+        if isinstance(self._stream, trio.abc.HalfCloseableStream):
+            await self._stream.send_eof()
 
     async def _write(self, data: bytearray) -> None:
         view = memoryview(data)
         for start in range(0, len(view), WRITE_BYTES):
-            await self._stream.send_all(view[start : start + WRITE_BYTES])
+            part = view[start : start + WRITE_BYTES]
+            await self._stream.send_all(part)
+            self._unsent_bytes -= len(part)
             self._liveness.on_bytes_sent()
 
     async def _receive_frames(self, nursery: trio.Nursery) -> None:
@@ -306,6 +343,7 @@
                 self._peer_retired = True
                 if not message.answer:
                     self._retire(answer=True)
+                self._end_if_idle(self.environment.timers.now_ms)
             case wire.Hello():
                 self.peer_hello = message
                 self.hello_received.set()
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -66,6 +66,8 @@
     ItemsMessage,
     FollowMessage,
 )
+# Messages that carry an answer, or a part of it, to the entry.
+ANSWER_MESSAGES = (ReplyMessage, ChunkMessage, RefusalMessage)
 
 _FRAME_HEADER = struct.Struct("!II")
 FRAME_HEADER_BYTES = _FRAME_HEADER.size
