End a planned stop only after peers have left their connections

What callers saw: requests to a gate that stopped ended as peer_lost (502 if they may not be repeated), although it had not read them; an answer whose last part was still queued was cut.

Cause: the node ended as soon as it was idle. Its peers learned of it by the end of the connection, so requests on their way were lost, and so was what its links had not written.

Change: an idle node that stops no longer accepts peers, announces on each link that it sends no further requests, refuses what still arrives and ends after its peers have left, or after 1.5 s for peers that do not respond.

--- a/features/link_closing.feature
+++ b/features/link_closing.feature
@@ -10,3 +10,9 @@
       | event |
       | the entry left the connection while the request ran |
       | the gate takes the entry for silent |
+
+  # Guards against requests lost because a stopping node closed the connection.
+  Scenario: requests that cross a node's planned stop are answered or refused
+    Given one running node of "examples/kalnins"
+    When another node sends requests until the node's planned stop ends the connection
+    Then none of the requests is left without an answer or a refusal
--- a/features/steps/link_closing.py
+++ b/features/steps/link_closing.py
@@ -1,5 +1,6 @@
 """Steps on connections between nodes that end while they carry answers."""
 
+import itertools
 import socket
 
 import trio
@@ -17,6 +18,10 @@
 TICK_MS = 500
 READ_BYTES = 100_000
 SEND_BUFFER_BYTES = 4_096
+FRAME_BYTES = 1_000_000
+REQUEST_PERIOD_S = 0.001
+STOP_AFTER_S = 0.3
+STOP_LIMIT_S = 20
 
 
 def _narrow_stream_pair():
@@ -121,3 +126,64 @@
 def whole_answer(context):
     assert context.answer is not None, "the connection ended before the answer"
     assert context.answer.body == BODY, len(context.answer.body)
+
+
+@when("another node sends requests until the node's planned stop ends the connection")
+def requests_until_stop(context):
+    context.unanswered = trio.run(_send_until_stopped, context.host)
+
+
+@then("none of the requests is left without an answer or a refusal")
+def none_unanswered(context):
+    assert not context.unanswered, sorted(context.unanswered)
+
+
+async def _send_until_stopped(host):
+    """Returns the ids of the requests that got neither an answer nor a refusal."""
+    ip, _, port = host.node_address.rpartition(":")
+    unanswered = set()
+    left = trio.Event()
+
+    async def send_requests(stream):
+        for stream_id in itertools.count(1):
+            if left.is_set():
+                return
+            unanswered.add(stream_id)
+            await stream.send_all(wire.encode(link_fixtures.call(stream_id)))
+            await trio.sleep(REQUEST_PERIOD_S)
+
+    async def stop_node():
+        await trio.sleep(STOP_AFTER_S)
+        host.node.terminate()
+
+    with trio.fail_after(STOP_LIMIT_S):
+        stream = await trio.open_tcp_stream(ip, int(port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ignore_lost_connection, send_requests, stream)
+            nursery.start_soon(stop_node)
+            await _receive_answers(stream, unanswered, left)
+            left.set()
+    return unanswered
+
+
+async def _ignore_lost_connection(function, stream):
+    try:
+        await function(stream)
+    except trio.BrokenResourceError:
+        return
+
+
+async def _receive_answers(stream, unanswered, left):
+    """Receives until the connection ends; leaves it when the other node does."""
+    decoder = wire.FrameDecoder(FRAME_BYTES)
+    try:
+        while data := await stream.receive_some(READ_BYTES):
+            for message in decoder.feed(data):
+                match message:
+                    case wire.RetireMessage():
+                        left.set()
+                        await stream.send_all(wire.encode(wire.RetireMessage(True)))
+                    case wire.ReplyMessage() | wire.RefusalMessage():
+                        unanswered.discard(message.stream_id)
+    except trio.BrokenResourceError:
+        return
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -13,6 +13,9 @@
 
 CONNECT_TIMEOUT_S = 0.3
 HELLO_TIMEOUT_S = 0.5
+# How long a stopping node waits for a peer that has received everything.
+CLOSE_LIMIT_S = 1.5
+CLOSE_CHECK_S = 0.02
 
 
 class LinkPool:
@@ -31,6 +34,8 @@
         self._handler = handler
         self._tasks = tasks
         self._links: dict[str, Link] = {}
+        self._running_links: set[Link] = set()
+        self._is_closing = False
         self._locks: collections.defaultdict[str, trio.Lock] = collections.defaultdict(
             trio.Lock
         )
@@ -45,6 +50,8 @@
         link = self._links.get(address)
         if _is_usable(link) and link.peer_hello is not None:
             return link
+        if self._is_closing:
+            raise _unreachable(address, "this node is stopping")
         failures = self._failures[address]
         async with self._locks[address]:
             link = self._links.get(address)
@@ -74,6 +81,26 @@
         if not _is_usable(self._links.get(address)):
             self._links[address] = link
 
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serves a connection that another node opened, until it ends."""
+        await self._run(Link(self._environment, stream, self._handler), stream)
+
+    async def close(self) -> None:
+        """Leaves all links and waits until they have ended.
+
+        Requests that cross the end of a link are still refused, and answers on their
+        way still arrive. A peer that does not respond is waited for only while it has
+        yet to take an answer.
+        """
+        self._is_closing = True
+        for link in self._running_links:
+            link.retire()
+        with trio.move_on_after(CLOSE_LIMIT_S):
+            while self._running_links:
+                await trio.sleep(CLOSE_CHECK_S)
+        while any(not link.is_idle for link in self._running_links):
+            await trio.sleep(CLOSE_CHECK_S)
+
     async def _connect(self, address: str) -> Link:
         ip, _, port = address.rpartition(":")
         try:
@@ -99,9 +126,13 @@
         return link
 
     async def _run(self, link: Link, stream: trio.SocketStream) -> None:
-        async with stream:
-            await link.run()
-        self._remove(link)
+        self._running_links.add(link)
+        try:
+            async with stream:
+                await link.run()
+        finally:
+            self._running_links.discard(link)
+            self._remove(link)
 
     def _remove(self, link: Link) -> None:
         if link.peer_hello is None:
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -78,6 +78,7 @@
             self._join_protocol = JoinProtocol(
                 environment, self.gate, self.distribution, self._tasks
             )
+        self._accept_scope = trio.CancelScope()
         self._started_ms = environment.now_ms()
         self.gate.add_crash_listener(self._on_crash)
 
@@ -111,17 +112,26 @@
         nursery = self._nursery
         nursery.start_soon(environment.run_timers)
         await nursery.start(self.admin.serve)
-        await nursery.start(
-            lambda task_status: trio.serve_tcp(
-                self._accept, int(port), host=ip, task_status=task_status
-            )
-        )
+        await nursery.start(self._serve_peers, ip, int(port))
         environment.board.snapshot.watch(self._on_snapshot)
         nursery.start_soon(self.edge.serve_once_ready)
         self.distribution.start()
         environment.timers.every(READY_CHECK_MS, self._update_readiness, first_ms=0)
         environment.log.info("started")
 
+    async def _serve_peers(
+        self, ip: str, port: int, task_status: trio.TaskStatus[t.Any]
+    ) -> None:
+        """Accepts connections of other nodes until the node closes its own."""
+        with self._accept_scope:
+            await trio.serve_tcp(
+                self.links.serve,
+                port,
+                host=ip,
+                handler_nursery=self._nursery,
+                task_status=task_status,
+            )
+
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._update_readiness(self.environment.now_ms())
 
@@ -189,9 +199,6 @@
                 self.gate.on_peer_update()
                 await self.distribution.on_control_message(link, message)
 
-    async def _accept(self, stream: trio.SocketStream) -> None:
-        await Link(self.environment, stream, self).run()
-
     def _update_readiness(self, now_ms: float) -> None:
         """Writes the node's readiness to the board, unless the node is leaving."""
         board = self.environment.board
@@ -243,6 +250,8 @@
             await self.edge.stop_accepting()
             while not self._is_idle:
                 await trio.sleep(0.02)
+            self._accept_scope.cancel()
+            await self.links.close()
         environment.log.info("stopped")
 
     @property
