--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -11,12 +11,12 @@
 from . import wire
 from .environment import Environment
 from .exchanges import Exchange
+from .frame_writer import FrameWriter
 from .liveness import Liveness
 from .liveness import LivenessMonitor
 from .reply_messages import event_from_message
 
 SEND_BUFFER_BYTES = 1_048_576
-WRITE_BYTES = 65_536
 RECEIVE_BYTES = 65_536
 WATCH_PERIOD_MS = 300
 IDLE_LIMIT_MS = 30_000
@@ -73,17 +73,13 @@
         self.hello_received = trio.Event()
         self._stream = stream
         self._handler = handler
-        self._outgoing = bytearray()
-        # Includes the bytes that are being written.
-        self._unsent_bytes = 0
         self._has_answered = False
-        self._frames_ready = trio.lowlevel.ParkingLot()
-        self._buffer_space = trio.lowlevel.ParkingLot()
         self._exchanges: dict[int, Exchange] = {}
         self._scopes: dict[int, trio.CancelScope] = {}
         self._call_credits: dict[int, trio.Semaphore] = {}
         self._stream_ids = itertools.count(1)
         self._liveness = LivenessMonitor()
+        self._writer = FrameWriter(stream, self._liveness.on_bytes_sent)
         self._used_ms = environment.timers.now_ms
         self.received_ms = environment.now_ms()
         self._peer_retired = False
@@ -92,8 +88,7 @@
 
     async def send(self, message: wire.Message) -> None:
         """Queues a message once the buffer has space; does nothing on a closed link."""
-        while len(self._outgoing) > SEND_BUFFER_BYTES and not self.closed:
-            await self._buffer_space.park()
+        await self._writer.wait_for_space(SEND_BUFFER_BYTES)
         self.send_soon(message)
 
     def send_soon(self, message: wire.Message) -> bool:
@@ -104,21 +99,19 @@
         if self.closed:
             return False
         frame = wire.encode(message)
-        if len(self._outgoing) + len(frame) > self._buffer_limit_bytes:
+        if self._writer.queued_bytes + len(frame) > self._buffer_limit_bytes:
             self.abort("send_buffer_full")
             return False
         self._used_ms = self.environment.timers.now_ms
-        self._outgoing += frame
-        self._unsent_bytes += len(frame)
+        self._writer.queue(frame)
         self._has_answered |= isinstance(message, wire.ANSWER_MESSAGES)
-        self._frames_ready.unpark()
         self._count("out", message, len(frame))
         return True
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is open and all frames have been written."""
-        return not (self._exchanges or self._scopes or self._unsent_bytes)
+        return not (self._exchanges or self._scopes or self._writer.unsent_bytes)
 
     def retire(self) -> None:
         """Leaves the link, which ends once both sides have left it and it is idle."""
@@ -145,7 +138,7 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._send_frames)
+                    nursery.start_soon(self._writer.run)
                     self.send_soon(self._build_hello())
                     await self._receive_frames(nursery)
                     nursery.cancel_scope.cancel()
@@ -197,7 +190,7 @@
     def _close(self) -> None:
         self.closed = True
         self.hello_received.set()
-        self._buffer_space.unpark_all()
+        self._writer.close()
         for exchange in list(self._exchanges.values()):
             exchange.fail(ErrorKind.PEER_LOST, "the connection was lost")
         self._exchanges.clear()
@@ -213,7 +206,7 @@
         awaits_peer = self.retired and not self._peer_retired
         liveness = self._liveness.tick(
             has_open_requests=bool(self._exchanges or self._scopes or awaits_peer),
-            has_unsent_frames=bool(self._unsent_bytes),
+            has_unsent_frames=bool(self._writer.unsent_bytes),
         )
         match liveness:
             case Liveness.SUSPECT:
@@ -280,7 +273,6 @@
     def _end_sending(self) -> None:
         """Closes the link; the connection ends when the peer has ended it too."""
         self._close()
-        self._frames_ready.unpark()
         self.environment.timers.after(
             CLOSE_LIMIT_MS, lambda now_ms: self._scope.cancel()
         )
@@ -293,24 +285,6 @@
         )
         self.send_soon(wire.RetireMessage(answer))
 
-    async def _send_frames(self) -> None:
-        while not self.closed:
-            while not (self._outgoing or self.closed):
-                await self._frames_ready.park()
-            data, self._outgoing = self._outgoing, bytearray()
-            self._buffer_space.unpark_all()
-            await self._write(data)
-        if isinstance(self._stream, trio.abc.HalfCloseableStream):
-            await self._stream.send_eof()
-
-    async def _write(self, data: bytearray) -> None:
-        view = memoryview(data)
-        for start in range(0, len(view), WRITE_BYTES):
-            part = view[start : start + WRITE_BYTES]
-            await self._stream.send_all(part)
-            self._unsent_bytes -= len(part)
-            self._liveness.on_bytes_sent()
-
     async def _receive_frames(self, nursery: trio.Nursery) -> None:
         buffer = wire.FrameDecoder(self.environment.settings.limits.frame_bytes)
         while data := await self._stream.receive_some(RECEIVE_BYTES):
