Leave an idle connection whose peer leaves a ping unanswered

What callers saw: requests ended as peer_lost (502 if they may not be repeated) that no gate had read.

Cause: a node that found its peer silent closed the connection at once if no request was open on it. The peer, only slow, had requests for the node on their way.

The new scenario of link_closing fails on the code before: the connection ended before the answer.

Change: such a connection is left, as one that carries requests is: both sides announce that they send no more, and it ends once it is idle, or when the peer stays silent.

--- a/features/link_closing.feature
+++ b/features/link_closing.feature
@@ -11,6 +11,12 @@
       | the entry left the connection while the request ran |
       | the gate takes the entry for silent |
 
+  # Guards against requests lost because they crossed the close of an idle connection.
+  Scenario: a request that crosses an unanswered ping is answered
+    Given a node with an idle connection to another node
+    When the node takes the other one for silent while a request is on its way
+    Then the request is answered
+
   # Guards against requests lost because a stopping node closed the connection.
   Scenario: requests that cross a node's planned stop are answered or refused
     Given one running node of "examples/kalnins"
--- a/features/steps/link_closing.py
+++ b/features/steps/link_closing.py
@@ -128,6 +128,32 @@
     assert context.answer.body == BODY, len(context.answer.body)
 
 
+@given("a node with an idle connection to another node")
+def connected_node(context):
+    context.environment = edge_fixtures.environment()
+
+
+@when("the node takes the other one for silent while a request is on its way")
+def silent_while_request_crosses(context):
+    async def body(nursery):
+        near, far = _narrow_stream_pair()
+        link = Link(context.environment, near, link_fixtures.Handler())
+        nursery.start_soon(_run_link, link, near)
+        decoder = wire.FrameDecoder(FRAME_BYTES)
+        await _read_until(far, decoder, wire.Hello)
+        link.on_ping_unanswered()
+        await _tick(context.environment, 1)
+        await _ignore_lost_connection(far.send_all, wire.encode(link_fixtures.call(1)))
+        context.answer = await _read_until(far, decoder, wire.ReplyMessage)
+
+    link_fixtures.run(body)
+
+
+@then("the request is answered")
+def request_answered(context):
+    assert context.answer is not None, "the connection ended before the answer"
+
+
 @when("another node sends requests until the node's planned stop ends the connection")
 def requests_until_stop(context):
     context.unanswered = trio.run(_send_until_stopped, context.host)
@@ -166,9 +192,9 @@
     return unanswered
 
 
-async def _ignore_lost_connection(function, stream):
+async def _ignore_lost_connection(function, argument):
     try:
-        await function(stream)
+        await function(argument)
     except trio.BrokenResourceError:
         return
 
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -222,22 +222,15 @@
                 self._end_if_idle(now_ms)
 
     def on_ping_unanswered(self) -> None:
-        """Leaves the link to the work that it carries, or closes it if it is idle.
+        """Leaves the link to the work that it carries.
 
-        A host that responds again is reached sooner over a new connection: this one
-        repeats its lost bytes at growing intervals.
+        Also an idle link may carry a request that has not arrived yet. A host that
+        responds again is reached sooner over a new connection: this one repeats its
+        lost bytes at growing intervals.
         """
         if self.peer_hello is not None:
             self.environment.mark_peer_silent(self.peer_hello.host.address)
-        if self._has_nothing_to_deliver:
-            self.abort("peer_unresponsive")
-        else:
-            self.retire()
-
-    @property
-    def _has_nothing_to_deliver(self) -> bool:
-        """Whether no request is open and no answer can be on its way."""
-        return not (self._exchanges or self._scopes or self._has_answered)
+        self.retire()
 
     def _record_received(self) -> None:
         environment = self.environment
@@ -259,7 +252,7 @@
         for exchange in list(self._exchanges.values()):
             if exchange.is_repeatable and not exchange.has_started:
                 exchange.give_up("the node is silent")
-        if self._has_nothing_to_deliver:
+        if not (self._exchanges or self._scopes or self._has_answered):
             self.abort("peer_unresponsive")
 
     def _end_if_idle(self, now_ms: float) -> None:
