Leave a connection whose hello is late, rather than close it

What callers saw: requests ended as peer_lost that no gate had read.

Cause: a node that connects waits 0.5 s for the other's hello and then closed the connection. The other one may have got the first hello and sent requests by then; its own hello was only slow to arrive.

The new scenario of link_closing fails on the code before: the connection ended before the answer.

Change: the connection is left: the other node gets the answer to what it sent, sends no more on it, and it ends when it is idle or the other node stays silent.

--- a/features/link_closing.feature
+++ b/features/link_closing.feature
@@ -17,6 +17,12 @@
     When the node takes the other one for silent while a request is on its way
     Then the request is answered
 
+  # Guards against requests lost on a connection that was closed for a late hello.
+  Scenario: a request is answered on a connection whose hello is late
+    Given a node that connects to another one
+    When the other node answers with a hello and a request only after 700 ms
+    Then the request is answered
+
   # Guards against requests lost because a stopping node closed the connection.
   Scenario: requests that cross a node's planned stop are answered or refused
     Given one running node of "examples/kalnins"
--- a/features/steps/link_closing.py
+++ b/features/steps/link_closing.py
@@ -8,7 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
+from cactushook import ErrorKind
+from cactushook import RequestError
 from cactushook_node import wire
+from cactushook_node.link_pool import LinkPool
 from cactushook_node.links import Link
 
 from features import edge_fixtures
@@ -129,6 +132,7 @@
 
 
 @given("a node with an idle connection to another node")
+@given("a node that connects to another one")
 def connected_node(context):
     context.environment = edge_fixtures.environment()
 
@@ -149,6 +153,36 @@
     link_fixtures.run(body)
 
 
+@when("the other node answers with a hello and a request only after {delay_ms:d} ms")
+def late_hello(context, delay_ms):
+    env = context.environment
+
+    async def body(nursery):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        pool = LinkPool(env, link_fixtures.Handler(), nursery)
+        nursery.start_soon(_expect_unreachable, pool, f"127.0.0.1:{port}")
+        far = await listeners[0].accept()
+        await trio.sleep(delay_ms / 1_000)
+        record = wire.host_to_message(env.membership.own)
+        request = link_fixtures.call(1)
+        for message in (wire.Hello(record, 0, "", 0), request):
+            await _ignore_lost_connection(far.send_all, wire.encode(message))
+        decoder = wire.FrameDecoder(FRAME_BYTES)
+        context.answer = await _read_until(far, decoder, wire.ReplyMessage)
+
+    link_fixtures.run(body)
+
+
+async def _expect_unreachable(pool, address):
+    try:
+        await pool.get(address)
+    except RequestError as error:
+        assert error.kind is ErrorKind.PEER_UNREACHABLE, error
+        return
+    raise AssertionError("the connection was used without a hello")
+
+
 @then("the request is answered")
 def request_answered(context):
     assert context.answer is not None, "the connection ended before the answer"
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -119,7 +119,8 @@
         with trio.move_on_after(HELLO_TIMEOUT_S):
             await link.hello_received.wait()
         if link.peer_hello is None:
-            link.abort("no_hello")
+            # The node may have received this one's hello and have sent requests.
+            link.retire()
             self._environment.mark_peer_silent(address)
             raise _unreachable(address, "it sent no hello")
         self._links[address] = link
