Do not take requests that could outlast a planned stop

Reproduced with two real nodes, a request each 0.2 s after SIGTERM, callers that wait 3.6 s and a worker that needs 5 s (trial, drain limit 5.4 s): - a request whose body was whole only 2.0 to 4.0 s after SIGTERM ran and got no answer: connection closed at 5.42 s. From 3 s on LOST counts it; - on kept and on new connections the same from 1.8 or 2.0 s to the end of the linger time (2.4 s). The drain limit was fixed, so that was at 5.4 s also where the grace is 10 s; - another node's request that may not be repeated, sent to the stopping node's gate 2.0 s after SIGTERM: 502 peer_lost at 5.41 s.

Cause: a request was taken by whether the node still read, not by whether its time ended before the stop's, and the settings did not know the platform's grace.

Change: the stop's end is known from SIGTERM on (board, serving_ends_ms). A request whose deadline lies after it is refused at once as draining, with a retry time: by the entry to its caller, by the gate to another node's entry, which then asks another gate. Requests of running work get only the time that is left. The parsing of keys moved to headers.py, so that entry.py does not grow.

The outline on the limit of a stop failed with "unknown field `grace_ms`".

--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -25,6 +25,7 @@
 from cactushook_node.logs import LineWriter
 from cactushook_node.settings import EdgeLimits
 from cactushook_node.settings import read_settings
+from cactushook_node.settings import Settings
 
 from features import daemon
 from features import edge_fixtures
@@ -371,3 +372,18 @@
     assert len(context.outcomes) == count
     for outcome in context.outcomes:
         assert_whole_and_closing(outcome, header)
+
+
+@given("a node's settings with a drain limit of {limit_ms:d} ms")
+def settings_with_limit(context, limit_ms):
+    context.raw = {**daemon.GOOD_SETTINGS, "drain_limit_ms": limit_ms}
+
+
+@when("the platform kills the node {grace_ms:d} ms after SIGTERM")
+def platform_kills(context, grace_ms):
+    context.settings = msgspec.convert({**context.raw, "grace_ms": grace_ms}, Settings)
+
+
+@then("its stop takes at most {limit_ms:d} ms")
+def stop_takes(context, limit_ms):
+    assert context.settings.stop_limit_ms == limit_ms, context.settings
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -51,3 +51,15 @@
     Given an edge that serves while its node stops
     When the edge stops accepting just after 5 new connections and 5 idle ones sent requests
     Then each of the 10 requests is answered whole with "connection: close"
+
+  # Guards against stops that the platform's kill ends before the node does.
+  Scenario Outline: a stop ends before the platform kills the node: <grace_ms> ms
+    Given a node's settings with a drain limit of <drain_limit_ms> ms
+    When the platform kills the node <grace_ms> ms after SIGTERM
+    Then its stop takes at most <stop_limit_ms> ms
+
+    Examples:
+      | drain_limit_ms | grace_ms | stop_limit_ms |
+      | 20000          | 6000     | 5600          |
+      | 20000          | 10000    | 9600          |
+      | 5000           | 10000    | 5000          |
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -25,6 +25,7 @@
 from .environment import Environment
 from .gate import Gate
 from .headers import find_header
+from .headers import parse_issued_ms
 from .headers import parse_number
 from .http_messages import Emit
 from .http_messages import Headers
@@ -36,6 +37,8 @@
 from .logs import OUTCOME_ANSWERED
 from .reply_forwarder import ReplyForwarder
 from .retry_budgets import RetryBudgets
+from .stops import limit_nested
+from .stops import refuse_outlasting
 from .trace import Trace
 
 MIN_RETRY_AFTER_MS = 100
@@ -133,6 +136,7 @@
             bound = self._match_route(request)
             call = self._build_call(request, bound, request_id)
             trace.record_route(bound, call)
+            call = self._fit_into_stop(call)
             if call.nested:
                 self._fanout.record_request(call.service)
             worker_request = self._build_worker_request(request, call)
@@ -233,7 +237,7 @@
         issued_ms = 0.0
         if route.route_class is RouteClass.AT_MOST_ONCE:
             key = request.header(route.key_header.lower().encode()).decode("latin-1")
-            issued_ms = _parse_issued_ms(key, route.key_header)
+            issued_ms = parse_issued_ms(key, route.key_header)
         attempts = min(
             _parse_number(request, names.attempts, route.attempts), route.attempts
         )
@@ -257,6 +261,14 @@
             answer_bytes=int(self._mean_answer_bytes.get(route.path, 0)),
         )
 
+    def _fit_into_stop(self, call: Call) -> Call:
+        if call.nested:
+            return limit_nested(call, self._environment)
+        refusal = refuse_outlasting(call, self._environment)
+        if refusal is not None:
+            raise RefusedError(refusal)
+        return call
+
     def _build_worker_request(self, request: EntryRequest, call: Call) -> WorkerRequest:
         names = self._environment.headers
         overridden = names.overridden
@@ -400,19 +412,3 @@
             ErrorKind.REQUEST_INVALID, f"header {name.decode()!r} is not a number"
         )
     return number
-
-
-def _parse_issued_ms(key: str, header: str) -> float:
-    if not key:
-        raise RequestError(ErrorKind.KEY_MISSING, f"header {header!r} is missing")
-    try:
-        parsed = uuid.UUID(key)
-    except ValueError as error:
-        raise RequestError(
-            ErrorKind.REQUEST_INVALID, f"header {header!r} is not a UUID"
-        ) from error
-    if parsed.version != 7:
-        raise RequestError(
-            ErrorKind.REQUEST_INVALID, f"header {header!r} is not a UUID of version 7"
-        )
-    return parsed.int >> 80
--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -1,6 +1,7 @@
 """The central object of a node: settings, clock, blackboard and shared parts."""
 
 import dataclasses
+import math
 import pathlib
 import random
 import time
@@ -49,6 +50,8 @@
             the node has an adapter.
         readiness: whether the node accepts requests; written by the node.
         leaving: whether the node is shutting down; written by the node.
+        serving_ends_ms: time by which all requests of a node that shuts down must
+            have ended, infinite before; written by the node.
         host_list_read: whether the platform's host list has been read once;
             written by distribution.
         caller_limits: the configuration's limits on what callers may send; None while
@@ -65,6 +68,7 @@
             "readiness", Readiness(False, "starting")
         )
         self.leaving: Slot[bool] = Slot("leaving", False)
+        self.serving_ends_ms: Slot[float] = Slot("serving_ends_ms", math.inf)
         self.host_list_read: Slot[bool] = Slot("host_list_read", False)
         self.caller_limits: Slot[CallerLimits | None] = Slot("caller_limits", None)
         self.listing: Slot[Listing | None] = Slot("listing", None)
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -26,9 +26,7 @@
 from cactushook.gatekeeping import Outcome
 from cactushook.gatekeeping import Replayed
 from cactushook.homes import Homes
-from cactushook.pacing import refuse_unsendable
 
-from . import wire
 from .answers import AnswerBuffer
 from .answers import AnswerRecorder
 from .answers import BufferedReply
@@ -41,6 +39,7 @@
 from .http_messages import WorkerRequest
 from .logs import MAX_REQUEST_ID_CHARACTERS
 from .logs import OUTCOME_ANSWERED
+from .stops import refuse_remote
 from .supervision import TaskStarter
 from .worker_check import WorkerHealthCheck
 from .worker_client import WorkerClient
@@ -178,11 +177,7 @@
         """Serves a request of another node, whose answer uses the network link."""
         environment = self._environment
         now_ms = environment.now_ms()
-        send_ms = environment.pacer.wait_ms(0, now_ms)
-        refusal = None
-        if call.answer_bytes > wire.CHUNK_BYTES:
-            run_ms = self._keeper.service_ms
-            refusal = refuse_unsendable(call, send_ms, run_ms, now_ms)
+        refusal = refuse_remote(call, environment, self._keeper.service_ms, now_ms)
         if refusal is not None:
             self._log_request_ended(call, refusal, now_ms)
             await self._refuse(refusal, emit)
--- a/packages/cactushook-node/src/cactushook_node/headers.py
+++ b/packages/cactushook-node/src/cactushook_node/headers.py
@@ -1,6 +1,10 @@
 """Names of the headers that the node reads and sets, taken from the settings."""
 
 import dataclasses
+import uuid
+
+from cactushook import ErrorKind
+from cactushook import RequestError
 
 from .settings import HeaderSettings
 
@@ -72,3 +76,28 @@
     if not name:
         return b""
     return next((value for key, value in headers if key == name), b"")
+
+
+def parse_issued_ms(key: str, header: str) -> float:
+    """Returns when a key was issued, in milliseconds since the epoch.
+
+    Args:
+        key: the key, a UUID of version 7.
+        header: name of the header that holds it.
+
+    Raises:
+        RequestError: there is no key, or it is not valid.
+    """
+    if not key:
+        raise RequestError(ErrorKind.KEY_MISSING, f"header {header!r} is missing")
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError as error:
+        raise RequestError(
+            ErrorKind.REQUEST_INVALID, f"header {header!r} is not a UUID"
+        ) from error
+    if parsed.version != 7:
+        raise RequestError(
+            ErrorKind.REQUEST_INVALID, f"header {header!r} is not a UUID of version 7"
+        )
+    return parsed.int >> 80
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -34,6 +34,7 @@
 from .platform import HttpPlatform
 from .replication import Replication
 from .settings import Settings
+from .stops import begin_stop
 from .supervision import Supervisor
 
 READY_CHECK_MS = 50
@@ -230,11 +231,12 @@
         environment = self.environment
         environment.log.info("draining")
         environment.board.leaving.write(True)
+        begin_stop(environment)
         if not self._has_adapter:
             self.gate.drain()
         environment.board.readiness.write(Readiness(False, "draining"))
         environment.membership.change_state(HostState.LEAVING)
-        with trio.move_on_after(environment.settings.drain_limit_ms / 1_000):
+        with trio.move_on_after(environment.settings.stop_limit_ms / 1_000):
             await self.distribution.announce_own_record()
             await trio.sleep(environment.settings.linger_ms / 1_000)
             # With an adapter the node does not announce its stop, so the gate accepts
--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -18,7 +18,10 @@
 Bytes = t.Annotated[int, msgspec.Meta(ge=1_024, le=1_000_000_000)]
 Count = t.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 LISTEN_FIELDS = ("node_listen", "public_listen", "internal_listen", "admin_listen")
+GraceMs = t.Annotated[int, msgspec.Meta(ge=1_000, le=600_000)]
 FRAME_OVERHEAD_BYTES = 65_536
+# Left between the end of a planned stop and the platform's kill.
+KILL_MARGIN_MS = 400
 _ADDRESS_PATTERN = re.compile(r"(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})")
 _MAX_OCTET = 255
 _MAX_PORT = 65_535
@@ -175,6 +178,8 @@
         limits: limits on what callers and peers may send.
         log: settings of the log.
         drain_limit_ms: longest wait for running work at a planned stop.
+        grace_ms: time after which the platform kills a node that stops; running work
+            is ended before. None if it waits for the node's end.
         linger_ms: how long a stopping node still accepts requests, so that callers can
             detect that it is not ready.
         gossip_period_ms: time between exchanges with a random peer.
@@ -204,6 +209,7 @@
     limits: EdgeLimits = EdgeLimits()
     log: LogSettings = LogSettings()
     drain_limit_ms: TimeoutMs = 20_000
+    grace_ms: GraceMs | None = None
     linger_ms: TimeoutMs = LINGER_MS
     gossip_period_ms: TimeoutMs = 1_000
     boot_wait_ms: TimeoutMs = 2_000
@@ -215,6 +221,13 @@
     retry: RetrySettings = RetrySettings()
     adapter: AdapterSettings | None = None
 
+    @property
+    def stop_limit_ms(self) -> int:
+        """Longest time that a planned stop takes."""
+        if self.grace_ms is None:
+            return self.drain_limit_ms
+        return min(self.drain_limit_ms, self.grace_ms - KILL_MARGIN_MS)
+
 
 def read_settings(path: pathlib.Path) -> Settings:
     """Reads and checks a settings file.
