Reset connections whose answer the node's end cuts off

What callers would see: an answer without a length (of an HTTP/1.0 caller) that was still being sent when a stop ended, or at a second SIGTERM, ended with a plain close and so looked complete. Answers with a length or in chunks could be told apart before, too.

Cause: answers that are cut were reset by the errors that cut them, but the end of the node cancels the connection's task, which then only closed the socket.

Change: a cancelled request resets its connection if its answer was written in part.

Test: the new scenario of edge_callers failed on the code before with "the answer looks complete".

--- a/features/edge_callers.feature
+++ b/features/edge_callers.feature
@@ -57,6 +57,12 @@
       | a connection close                     |
       | a length that is too long for its body |
 
+  # Guards against answers without a length that look complete when the node's end cuts them.
+  Scenario: an answer that the node's end cuts off does not look complete
+    Given an edge whose entry sends an endless answer
+    When the node ends while a caller reads an answer that ends with its connection
+    Then that connection is reset
+
   Scenario: an unexpected error in the entry ends one request only
     Given an edge whose entry fails unexpectedly
     When a caller sends two requests
--- a/features/steps/edge_callers.py
+++ b/features/steps/edge_callers.py
@@ -289,3 +289,23 @@
         edge_fixtures.counted(env, "cactushook_refusals", kind=kind, place="edge") == 1
     )
     assert context.entry.requests == []
+
+
+@when("the node ends while a caller reads an answer that ends with its connection")
+def node_ends_meanwhile(context):
+    async def main():
+        async with edge_fixtures.edge(context.environment, context.entry):
+            stream = await edge_fixtures.connect(_public(context))
+            await stream.send_all(b"GET /a HTTP/1.0\r\n\r\n")
+            head = await stream.receive_some(edge_fixtures.PART_BYTES)
+        async with stream:
+            context.outcome = await edge_fixtures.read_to_end(stream)
+        assert head.startswith(b"HTTP/1.1 200") and b"chunked" not in head, head
+
+    trio.run(main)
+
+
+@then("that connection is reset")
+def connection_reset(context):
+    _, reset = context.outcome
+    assert reset, "the answer looks complete"
--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -193,6 +193,9 @@
                 self._environment.metrics.refusals.labels(error.kind.value, PLACE).inc()
                 http.reset()
                 return False
+            except trio.Cancelled:
+                http.reset_if_incomplete()
+                raise
             finally:
                 self._running.pop(fd, None)
         return not scope.cancelled_caught and http.prepare_next_request()
--- a/packages/cactushook-node/src/cactushook_node/http_server.py
+++ b/packages/cactushook-node/src/cactushook_node/http_server.py
@@ -95,6 +95,7 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._served_count = 0
+        self._is_writing = False
         self.started = False
 
     @property
@@ -182,6 +183,11 @@
                 while await self._stream.receive_some(RECEIVE_BYTES):
                     pass
 
+    def reset_if_incomplete(self) -> None:
+        """Makes the close a reset if only a part of an answer was written."""
+        if self._is_writing or self._http.our_state is h11.SEND_BODY:
+            self.reset()
+
     def reset(self) -> None:
         """Makes the close a TCP reset, which no caller takes for the answer's end."""
         if isinstance(self._stream, trio.SocketStream):
@@ -300,9 +306,11 @@
         return data
 
     async def _write(self, data: bytes) -> None:
+        self._is_writing = True
         try:
             with trio.fail_after(self._slow_caller_timeout_s):
                 await self._stream.send_all(data)
+            self._is_writing = False
         except trio.TooSlowError as error:
             raise CallerGoneError(ErrorKind.CALLER_TOO_SLOW) from error
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
