Leave other nodes' connections at the end of a stop with a notice

What callers saw: a request that another node's entry had sent to a node at the end of its planned stop failed with 502 peer_lost, though it had not run; one that may be repeated was sent again at the cost of the retry budget.

Reproduced on two real nodes with 20 ms between them (trial, 200 requests a second, linger time 0.5 s): 502 for 2, 5, 0, 0, 0 and 2 requests in six stops, all non_idempotent, none of which had run.

Cause: the node closed its connections as soon as it was idle. Requests on their way found a closed connection, which proves nothing. Frames still queued would have been lost, too.

Change: at the end the node accepts no more connections of other nodes and retires those that it has, as an idle connection is retired already: each side announces that it sends no further requests. What arrives before that is refused as draining, so that the entry asks another gate at no cost. It waits 0.6 s at most, within the limit of the stop. All connections are run by the pool, so that it knows those that other nodes opened.

Test: the new scenario of stops.feature failed on the code before: a peer got the hello and then the end of the connection, no notice and no refusal.

--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -1,6 +1,7 @@
 """Pool of the connections to other nodes, one per address."""
 
 import collections
+import typing as t
 
 import trio
 from cactushook import ErrorKind
@@ -13,6 +14,10 @@
 
 CONNECT_TIMEOUT_S = 0.3
 HELLO_TIMEOUT_S = 0.5
+# Longest wait for the other nodes to leave their connections. An idle connection ends
+# within one period of the links' checks.
+LEAVE_TIMEOUT_S = 0.6
+LEAVE_POLL_S = 0.01
 
 
 class LinkPool:
@@ -31,11 +36,49 @@
         self._handler = handler
         self._tasks = tasks
         self._links: dict[str, Link] = {}
+        self._open: set[Link] = set()
+        self._listening = trio.CancelScope()
+        self._left = False
         self._locks: collections.defaultdict[str, trio.Lock] = collections.defaultdict(
             trio.Lock
         )
         self._failures: collections.Counter[str] = collections.Counter()
 
+    async def listen(
+        self,
+        handlers: trio.Nursery,
+        task_status: trio.TaskStatus[t.Any] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts connections of other nodes until `leave`.
+
+        Args:
+            handlers: runs the connections.
+            task_status: reports that the node listens.
+        """
+        ip, _, port = self._environment.settings.node_listen.rpartition(":")
+        with self._listening:
+            await trio.serve_tcp(
+                self._accept,
+                int(port),
+                host=ip,
+                handler_nursery=handlers,
+                task_status=task_status,
+            )
+
+    async def leave(self) -> None:
+        """Ends all connections, once the other nodes know that they end.
+
+        Otherwise a request that is on its way could have run, as far as its sender
+        knows. Requests that still arrive are answered.
+        """
+        self._left = True
+        self._listening.cancel()
+        for link in self._open:
+            link.retire()
+        with trio.move_on_after(LEAVE_TIMEOUT_S):
+            while self._open:
+                await trio.sleep(LEAVE_POLL_S)
+
     async def get(self, address: str) -> Link:
         """Returns a link on which the node's hello has arrived.
 
@@ -74,7 +117,12 @@
         if not _is_usable(self._links.get(address)):
             self._links[address] = link
 
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        await self._run(Link(self._environment, stream, self._handler), stream)
+
     async def _connect(self, address: str) -> Link:
+        if self._left:
+            raise _unreachable(address, "this node shuts down")
         ip, _, port = address.rpartition(":")
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
@@ -99,9 +147,13 @@
         return link
 
     async def _run(self, link: Link, stream: trio.SocketStream) -> None:
-        async with stream:
-            await link.run()
-        self._remove(link)
+        self._open.add(link)
+        try:
+            async with stream:
+                await link.run()
+        finally:
+            self._open.discard(link)
+            self._remove(link)
 
     def _remove(self, link: Link) -> None:
         if link.peer_hello is None:
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -45,10 +45,10 @@
     Sending never blocks receiving: frames are buffered and one task writes them, so
     that two nodes cannot deadlock.
 
-    A link that was idle for ``IDLE_LIMIT_MS`` is retired: before the connection closes,
-    each side announces that it sends no further requests, so that none is lost. A link
-    to a silent peer is retired too, but kept for the answers to work that cannot be
-    repeated.
+    A link that was idle for ``IDLE_LIMIT_MS``, or whose node shuts down, is retired:
+    before the connection closes, each side announces that it sends no further requests,
+    so that none is lost. A link to a silent peer is retired too, but kept for the
+    answers to work that cannot be repeated.
 
     Args:
         environment: the node's central object.
@@ -206,8 +206,8 @@
             self.environment.mark_peer_silent(self.peer_hello.host.address)
         if not (self._exchanges or self._scopes):
             self.abort("peer_unresponsive")
-        elif not self.retired:
-            self._retire(answer=False)
+        else:
+            self.retire()
 
     def _record_received(self) -> None:
         environment = self.environment
@@ -241,6 +241,11 @@
         elif not self.retired and now_ms - self._used_ms >= IDLE_LIMIT_MS:
             self._retire(answer=False)
 
+    def retire(self) -> None:
+        """Announces that this node sends no further requests on the link."""
+        if not self.retired:
+            self._retire(answer=False)
+
     def _retire(self, answer: bool) -> None:
         self.retired = True
         self.send_soon(wire.RetireMessage(answer))
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -108,15 +108,10 @@
 
     async def _start(self) -> None:
         environment = self.environment
-        ip, _, port = environment.settings.node_listen.rpartition(":")
         nursery = self._nursery
         nursery.start_soon(environment.run_timers)
         await nursery.start(self.admin.serve)
-        await nursery.start(
-            lambda task_status: trio.serve_tcp(
-                self._accept, int(port), host=ip, task_status=task_status
-            )
-        )
+        await nursery.start(self.links.listen, nursery)
         environment.board.snapshot.watch(self._on_snapshot)
         nursery.start_soon(self.edge.serve_once_ready)
         self.distribution.start()
@@ -190,9 +185,6 @@
                 self.gate.on_peer_update()
                 await self.distribution.on_control_message(link, message)
 
-    async def _accept(self, stream: trio.SocketStream) -> None:
-        await Link(self.environment, stream, self).run()
-
     def _update_readiness(self, now_ms: float) -> None:
         """Writes the node's readiness to the board, unless the node is leaving."""
         board = self.environment.board
@@ -245,6 +237,7 @@
             await self.edge.stop_accepting()
             while not self._is_idle:
                 await trio.sleep(0.02)
+            await self.links.leave()
         environment.log.info("stopped")
 
     @property
