Do not end at a SIGHUP that arrives during the start

What callers would see: a machine whose node is told of changed settings while it starts loses the node (exit status -1) and the requests that wait at its addresses.

Cause: the node handles SIGHUP once its event loop runs. Before, while most modules are loaded, the signal's default action ends the process. Besides, a change of the file between its reading and the node's creation was never seen.

Change: the command ignores SIGHUP until the node handles it, and the node's first check of the file, a second after its start, reads it in any case.

Test: the new scenario of starting.feature failed on the code before with exit status -1.

--- a/features/starting.feature
+++ b/features/starting.feature
@@ -23,6 +23,12 @@
     Then binding its addresses fails and names "internal_listen"
     And its public address is free again
 
+  # Guards against a SIGHUP that ends a node because it arrives during the node's start.
+  Scenario: a node whose settings change while it starts goes on and reads them
+    Given a node's settings in a file that nothing else reads
+    When the node starts, and the log level changes with a SIGHUP once callers can connect
+    Then the node runs and has read the log level
+
   Scenario: the generated messages are those of the definitions
     Then generating the messages again changes nothing
     And a message without its lists has lists of its own
--- a/features/steps/starting.py
+++ b/features/steps/starting.py
@@ -1,10 +1,13 @@
 """Steps for nodes that start while callers connect."""
 
 import importlib.util
+import json
 import pathlib
+import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import unittest.mock
 
 import trio
@@ -17,8 +20,11 @@
 from cactushook_node import wire
 from cactushook_node.caller_sockets import bind_caller_sockets
 from cactushook_node.environment import Readiness
+from cactushook_node.settings import LISTEN_FIELDS
 
+from features import daemon
 from features import edge_fixtures
+from standins.fleet import BIN
 
 GENERATOR = pathlib.Path("packages/cactushook-node/generate_messages.py")
 REQUEST = b"GET /reports HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
@@ -141,3 +147,55 @@
     first, second = wire.RefusalMessage(stream_id=1), wire.RefusalMessage(stream_id=2)
     first.home.append("a host")
     assert second.home == []
+
+
+@given("a node's settings in a file that nothing else reads")
+def settings_in_file(context):
+    directory = tempfile.TemporaryDirectory(prefix="cactushook-test-")
+    context.file = pathlib.Path(context.resources.enter_context(directory)) / "s.jsonc"
+    worker, platform, *listen = edge_fixtures.free_addresses(2 + len(LISTEN_FIELDS))
+    context.settings = {
+        **daemon.GOOD_SETTINGS,
+        **dict(zip(LISTEN_FIELDS, listen, strict=True)),
+        "worker": {"address": worker},
+        "platform": {"address": platform},
+    }
+    context.file.write_text(json.dumps(context.settings))
+
+
+@when(
+    "the node starts, and the log level changes with a SIGHUP once callers can connect"
+)
+def hangup_while_starting(context):
+    context.log = context.file.with_suffix(".log")
+    with context.log.open("wb") as log:
+        context.process = subprocess.Popen(
+            [BIN / "cactushookd", "run", "--settings", context.file], stdout=log
+        )
+    context.resources.callback(context.process.wait)
+    context.resources.callback(context.process.kill)
+    ip, _, port = context.settings["public_listen"].rpartition(":")
+
+    def can_connect():
+        with socket.socket() as probe:
+            return probe.connect_ex((ip, int(port))) == 0
+
+    wait_until(can_connect)
+    context.file.write_text(json.dumps({**context.settings, "log": {"level": "debug"}}))
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("the node runs and has read the log level")
+def settings_were_read(context):
+    def read_changes():
+        assert context.process.poll() is None, context.process.returncode
+        whole, _, _ = context.log.read_text().rpartition("\n")
+        lines = [json.loads(line) for line in whole.splitlines()]
+        return [line["changed"] for line in lines if line["event"] == "settings_read"]
+
+    wait_until(lambda: ["log"] in read_changes())
+
+
+def wait_until(condition):
+    """Waits until a condition holds."""
+    trio.run(edge_fixtures.wait_until, condition)
--- a/packages/cactushook-node/src/cactushook_node/environment.py
+++ b/packages/cactushook-node/src/cactushook_node/environment.py
@@ -102,7 +102,8 @@
         self.timers = TimerService(self.now_ms(), on_error=self._on_timer_error)
         self._settings_file = settings_file
         if settings_file is not None:
-            self._settings_mtime_ns = settings_file.stat().st_mtime_ns
+            # Not known: the file may have changed since the settings were read.
+            self._settings_mtime_ns: int | None = None
             self.timers.every(SETTINGS_PERIOD_MS, self._check_settings_file)
         self.pacer = Pacer(settings.link_mbps)
         self.silent_peers = SilentPeers()
--- a/packages/cactushook-node/src/cactushook_node/main.py
+++ b/packages/cactushook-node/src/cactushook_node/main.py
@@ -3,6 +3,7 @@
 import argparse
 import gc
 import pathlib
+import signal
 import sys
 
 from cactushook import CactushookError
@@ -42,6 +43,9 @@
 
 def _run(options: argparse.Namespace) -> int:
     try:
+        if options.command == "run":
+            # The node reads the settings again after its start, also without a signal.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
         settings = read_settings(options.settings)
         if options.command == "run":
             writer = logs.configure_logging(settings.log.level)
