--- a/packages/cactushook-node/src/cactushook_node/edge.py
+++ b/packages/cactushook-node/src/cactushook_node/edge.py
@@ -198,6 +198,9 @@
                     self._log_answer_cut(request, error.kind.value)
                 http.reset()
                 return False
+            except trio.Cancelled:
+                http.reset_if_incomplete()
+                raise
             finally:
                 self._running.pop(fd, None)
         return not scope.cancelled_caught and http.prepare_next_request()
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -1,6 +1,7 @@
 """Pool of the connections to other nodes, one per address."""
 
 import collections
+import typing as t
 
 import trio
 from cactushook import ErrorKind
@@ -35,12 +36,34 @@
         self._tasks = tasks
         self._links: dict[str, Link] = {}
         self._running_links: set[Link] = set()
+        self._listening = trio.CancelScope()
         self._is_closing = False
         self._locks: collections.defaultdict[str, trio.Lock] = collections.defaultdict(
             trio.Lock
         )
         self._failures: collections.Counter[str] = collections.Counter()
 
+    async def listen(
+        self,
+        handlers: trio.Nursery,
+        task_status: trio.TaskStatus[t.Any] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts connections of other nodes until `close`.
+
+        Args:
+            handlers: runs the connections.
+            task_status: reports that the node listens.
+        """
+        ip, _, port = self._environment.settings.node_listen.rpartition(":")
+        with self._listening:
+            await trio.serve_tcp(
+                self._accept,
+                int(port),
+                host=ip,
+                handler_nursery=handlers,
+                task_status=task_status,
+            )
+
     async def get(self, address: str) -> Link:
         """Returns a link on which the node's hello has arrived.
 
@@ -81,10 +104,6 @@
         if not _is_usable(self._links.get(address)):
             self._links[address] = link
 
-    async def serve(self, stream: trio.SocketStream) -> None:
-        """Serves a connection that another node opened, until it ends."""
-        await self._run(Link(self._environment, stream, self._handler), stream)
-
     async def close(self) -> None:
         """Leaves all links and waits until they have ended.
 
@@ -93,6 +112,7 @@
         yet to take an answer.
         """
         self._is_closing = True
+        self._listening.cancel()
         for link in self._running_links:
             link.retire()
         with trio.move_on_after(CLOSE_LIMIT_S):
@@ -101,6 +121,9 @@
         while any(not link.is_idle for link in self._running_links):
             await trio.sleep(CLOSE_CHECK_S)
 
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        await self._run(Link(self._environment, stream, self._handler), stream)
+
     async def _connect(self, address: str) -> Link:
         ip, _, port = address.rpartition(":")
         try:
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -44,11 +44,12 @@
     Sending never blocks receiving: frames are buffered and one task writes them, so
     that two nodes cannot deadlock.
 
-    A link that was idle for ``IDLE_LIMIT_MS`` is retired: before the connection closes,
-    each side announces that it sends no further requests, so that none is lost. A link
-    to a silent peer is retired too, but kept for the answers that it still carries. The
-    connection then ends in both directions one after the other, since a close with
-    unread bytes would discard what the peer has not received yet.
+    A link that was idle for ``IDLE_LIMIT_MS``, or whose node stops, is retired: before
+    the connection closes, each side announces that it sends no further requests, so
+    that none is lost. A link to a silent peer is retired too, but kept for the answers
+    that it still carries. The connection then ends in both directions one after the
+    other, since a close with unread bytes would discard what the peer has not received
+    yet.
 
     Args:
         environment: the node's central object.
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -34,6 +34,7 @@
 from .replication import Replication
 from .reply_messages import reply_to_message
 from .settings import Settings
+from .stops import begin_stop
 from .supervision import Supervisor
 
 READY_CHECK_MS = 50
@@ -78,7 +79,6 @@
             self._join_protocol = JoinProtocol(
                 environment, self.gate, self.distribution, self._tasks
             )
-        self._accept_scope = trio.CancelScope()
         self._started_ms = environment.now_ms()
         self.gate.add_crash_listener(self._on_crash)
 
@@ -108,30 +108,16 @@
 
     async def _start(self) -> None:
         environment = self.environment
-        ip, _, port = environment.settings.node_listen.rpartition(":")
         nursery = self._nursery
         nursery.start_soon(environment.run_timers)
         await nursery.start(self.admin.serve)
-        await nursery.start(self._serve_peers, ip, int(port))
+        await nursery.start(self.links.listen, nursery)
         environment.board.snapshot.watch(self._on_snapshot)
         nursery.start_soon(self.edge.serve_once_ready)
         self.distribution.start()
         environment.timers.every(READY_CHECK_MS, self._update_readiness, first_ms=0)
         environment.log.info("started")
 
-    async def _serve_peers(
-        self, ip: str, port: int, task_status: trio.TaskStatus[t.Any]
-    ) -> None:
-        """Accepts connections of other nodes until the node closes its own."""
-        with self._accept_scope:
-            await trio.serve_tcp(
-                self.links.serve,
-                port,
-                host=ip,
-                handler_nursery=self._nursery,
-                task_status=task_status,
-            )
-
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         self._update_readiness(self.environment.now_ms())
 
@@ -237,11 +223,12 @@
         environment = self.environment
         environment.log.info("draining")
         environment.board.leaving.write(True)
+        begin_stop(environment)
         if not self._has_adapter:
             self.gate.drain()
         environment.board.readiness.write(Readiness(False, "draining"))
         environment.membership.change_state(HostState.LEAVING)
-        with trio.move_on_after(environment.settings.drain_limit_ms / 1_000):
+        with trio.move_on_after(environment.settings.stop_limit_ms / 1_000):
             await self.distribution.announce_own_record()
             await trio.sleep(environment.settings.linger_ms / 1_000)
             # With an adapter the node does not announce its stop, so the gate accepts
@@ -250,7 +237,6 @@
             await self.edge.stop_accepting()
             while not self._is_idle:
                 await trio.sleep(0.02)
-            self._accept_scope.cancel()
             await self.links.close()
         environment.log.info("stopped")
 
