Take a peer for silent once per connection, when it is left

A connection on which answers went out is left, not closed, when a ping is unanswered. Now only the first unanswered ping counts. silent_hosts, silent_peers and edge_links pass (34).

--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -229,6 +229,8 @@
         responds again is reached sooner over a new connection: this one repeats its
         lost bytes at growing intervals.
         """
+        if self.retired:
+            return
         if self.peer_hello is not None:
             self.environment.mark_peer_silent(self.peer_hello.host.address)
         self.retire()
