End a planned stop as soon as the peers have left

Callers of a stopping node find its address closed until it runs again. Each connection ended at the next check, up to 300 ms later at either side, and a peer that did not respond was waited for during 1.5 s, with frames for it as long as the stop may last.

A link that both sides have left now ends when its last frame is written, and the node waits 0.6 s for peers that are idle and not at all for the frames to silent ones. link_closing, silent_hosts, silent_peers, edge_links and stops pass (44).

--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -15,7 +15,7 @@
 CONNECT_TIMEOUT_S = 0.3
 HELLO_TIMEOUT_S = 0.5
 # How long a stopping node waits for a peer that has received everything.
-CLOSE_LIMIT_S = 1.5
+CLOSE_LIMIT_S = 0.6
 CLOSE_CHECK_S = 0.02
 
 
@@ -118,7 +118,7 @@
         with trio.move_on_after(CLOSE_LIMIT_S):
             while self._running_links:
                 await trio.sleep(CLOSE_CHECK_S)
-        while any(not link.is_idle for link in self._running_links):
+        while any(not (link.is_idle or link.is_silent) for link in self._running_links):
             await trio.sleep(CLOSE_CHECK_S)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -62,6 +62,7 @@
         retired: whether new requests must use another connection.
         hello_received: set once the hello has arrived or the link has closed.
         received_ms: when bytes arrived last.
+        is_silent: whether the peer sent nothing although it was pinged.
     """
 
     def __init__(
@@ -80,11 +81,11 @@
         self._call_credits: dict[int, trio.Semaphore] = {}
         self._stream_ids = itertools.count(1)
         self._liveness = LivenessMonitor()
-        self._writer = FrameWriter(stream, self._liveness.on_bytes_sent)
+        self._writer = FrameWriter(stream, self._on_written)
         self._used_ms = environment.timers.now_ms
         self.received_ms = environment.now_ms()
         self._peer_retired = False
-        self._is_silent = False
+        self.is_silent = False
         self._scope = trio.CancelScope()
 
     async def send(self, message: wire.Message) -> None:
@@ -249,8 +250,8 @@
         Work that cannot be repeated, and the work that runs here for the peer, keep the
         connection: the peer may only be slow.
         """
-        if not self._is_silent:
-            self._is_silent = True
+        if not self.is_silent:
+            self.is_silent = True
             self.environment.log.warning("peer_silent")
         for exchange in list(self._exchanges.values()):
             if exchange.is_repeatable and not exchange.has_started:
@@ -266,6 +267,11 @@
         elif now_ms - self._used_ms >= IDLE_LIMIT_MS:
             self.retire()
 
+    def _on_written(self) -> None:
+        self._liveness.on_bytes_sent()
+        if self._peer_retired:
+            self._end_if_idle(self.environment.timers.now_ms)
+
     def _end_sending(self) -> None:
         """Closes the link; the connection ends when the peer has ended it too."""
         self._close()
