Send no request on a connection that the other node has left

What callers would see: peer_lost for a request that no gate had read. Cause: a node that connected did not look whether the other one had left the connection together with its hello, as a stopping one does; a request that waited for room in a full buffer went out behind the notice that no more would come. The new scenario fails on the code before: the connection was used. Change: both fail as not sent, so that the entry asks another gate.

--- a/features/link_closing.feature
+++ b/features/link_closing.feature
@@ -24,6 +24,12 @@
     When the other node answers with a hello and a request only after 700 ms
     Then the request is answered
 
+  # Guards against requests that are sent on a connection which the peer no longer reads.
+  Scenario: no request is sent on a connection that the other node leaves at once
+    Given a node that connects to another one
+    When the other node answers with a hello and leaves the connection
+    Then the node does not use the connection
+
   # Guards against requests lost because a stopping node closed the connection.
   Scenario: requests that cross a node's planned stop are answered or refused
     Given one running node of "examples/kalnins"
--- a/features/steps/link_closing.py
+++ b/features/steps/link_closing.py
@@ -214,6 +214,30 @@
     link_fixtures.run(body)
 
 
+@when("the other node answers with a hello and leaves the connection")
+def leaves_at_once(context):
+    env = context.environment
+
+    async def body(nursery):
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listener.socket.getsockname()[1]
+        pool = LinkPool(env, link_fixtures.Handler(), nursery)
+        async with trio.open_nursery() as callers:
+            callers.start_soon(_expect_unreachable, pool, f"127.0.0.1:{port}")
+            far = await listener.accept()
+            hello = wire.Hello(wire.host_to_message(env.membership.own), 0, "", 0)
+            notice = wire.RetireMessage(False)
+            await far.send_all(wire.encode(hello) + wire.encode(notice))
+        context.link = pool.find(f"127.0.0.1:{port}")
+
+    link_fixtures.run(body)
+
+
+@then("the node does not use the connection")
+def not_used(context):
+    assert context.link is None
+
+
 async def _expect_unreachable(pool, address):
     try:
         await pool.get(address)
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -146,6 +146,8 @@
             link.retire()
             self._environment.mark_peer_silent(address)
             raise _unreachable(address, "it sent no hello")
+        if not _is_usable(link):
+            raise _unreachable(address, "it left the connection at once")
         self._links[address] = link
         return link
 
--- a/packages/cactushook-node/src/cactushook_node/links.py
+++ b/packages/cactushook-node/src/cactushook_node/links.py
@@ -6,6 +6,7 @@
 import trio
 from cactushook import ErrorKind
 from cactushook import Load
+from cactushook import RequestError
 from cactushook import WireError
 
 from . import wire
@@ -89,8 +90,16 @@
         self._scope = trio.CancelScope()
 
     async def send(self, message: wire.Message) -> None:
-        """Queues a message once the buffer has space; does nothing on a closed link."""
+        """Queues a message once the buffer has space; does nothing on a closed link.
+
+        Raises:
+            RequestError: the message is a request, and the link was left meanwhile.
+        """
         await self._writer.wait_for_space(SEND_BUFFER_BYTES)
+        if self.retired and isinstance(message, wire.CallMessage):
+            raise RequestError(
+                ErrorKind.PEER_UNREACHABLE, "the connection was left before the request"
+            )
         self.send_soon(message)
 
     def send_soon(self, message: wire.Message) -> bool:
