Keep connection and change when a change cannot be put in force at once

What callers would have seen: requests on a connection between two nodes end with it, and a node keeps an old list of workers or an old configuration until the next change. Cause: a change was put in force within the call that received it. An unexpected error there ended the connection to the peer that had sent it, or the task that reads the store; the replica held the change by then, so a further reading brought nothing new. Followers didn't get the change either. Change: the error is counted and logged, the change goes to the followers, and the node tries again after 500 ms or with the next change.

--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -41,6 +41,9 @@
 # Time without an up-to-date reader after which the store counts as unreachable.
 STALE_MS = 300.0
 LAPSED_CHECK_PERIOD_MS = 100
+# Delay of another attempt to put the replica's contents in force after an error.
+PUBLISH_RETRY_MS = 500
+PLACE = "replication"
 # Share of the adapter's `drain_ms` for which a lapsed record is kept. The rest is a
 # margin, since the record may have vanished a moment before the node reached the store
 # again.
@@ -90,6 +93,7 @@
         self._lapsed_records: dict[str, _LapsedRecord] = {}
         self._failing_since_ms: float | None = None
         self._is_pull_scheduled = False
+        self._is_publish_scheduled = False
         self._logged_faults: frozenset[str] = frozenset()
 
     def start(self) -> None:
@@ -236,6 +240,28 @@
             self._publish()
 
     def _publish(self) -> None:
+        """Puts the replica's contents in force; tries again later after an error.
+
+        The error of one change must not end the connection that brought it.
+        """
+        try:
+            self._put_in_force()
+        except Exception as error:
+            self._environment.record_failure(PLACE, error)
+            self._schedule_publish()
+
+    def _schedule_publish(self) -> None:
+        if self._is_publish_scheduled:
+            return
+        self._is_publish_scheduled = True
+
+        def publish(now_ms: float) -> None:
+            self._is_publish_scheduled = False
+            self._publish()
+
+        self._environment.timers.after(PUBLISH_RETRY_MS, publish)
+
+    def _put_in_force(self) -> None:
         environment = self._environment
         lapsed = {key: kept.item for key, kept in self._lapsed_records.items()}
         fleet = self._adapter.fleet({**lapsed, **self._replica.items})
