Take a host whose address is none for one that cannot be reached

What callers would have seen: 500 for a request whose worker was chosen by such an address, in place of a try at another one. Cause: the address of a host, from the list or a peer, was split and looked up without a check, and what these raise is no OSError. With the platform's adapter addresses are built from checked ones; with the built-in list they are as listed. Evidence: "127.0.0.1:" and "nowhere" raised ValueError, "a..b:1" UnicodeError out of LinkPool.get. Change: a ValueError of the connection attempt means that the node cannot be reached. Seen to fail without the change: 3 of the 6 examples (14 passed, 3 failed); the ports passed before and are kept. With it 17 passed.

--- a/features/steps/unexpected_errors.py
+++ b/features/steps/unexpected_errors.py
@@ -9,6 +9,7 @@
 from cactushook import Call
 from cactushook import Head
 from cactushook import Limits
+from cactushook import RequestError
 from cactushook import RouteClass
 from cactushook import Snapshot
 from cactushook import TeamFile
@@ -16,6 +17,7 @@
 from cactushook_node.headers import load_header_names
 from cactushook_node.http_messages import ReplyStart
 from cactushook_node.http_messages import WorkerRequest
+from cactushook_node.link_pool import LinkPool
 from cactushook_node.settings import HeaderSettings
 from cactushook_node.supervision import keep_running
 from cactushook_node.supervision import Supervisor
@@ -227,3 +229,22 @@
 def all_answered(context):
     assert context.statuses == 4 * [200], context.statuses
     assert errors(context.environment, "timer") == 0
+
+
+@when('a node connects to a host with the address "{address}"')
+def connects(context, address):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            links = LinkPool(edge_fixtures.environment(), None, nursery)
+            try:
+                await links.get(address)
+            except Exception as error:
+                context.error = error
+
+    trio.run(main)
+
+
+@then('the attempt ends as "{kind}"')
+def attempt_ends(context, kind):
+    assert isinstance(context.error, RequestError), repr(context.error)
+    assert context.error.kind.value == kind, context.error
--- a/features/unexpected_errors.feature
+++ b/features/unexpected_errors.feature
@@ -47,3 +47,18 @@
     Given a gate whose backend server has one slot
     When two requests with the same id arrive at once, and a third one after them
     Then each of the three is answered
+
+  # The list of hosts may name an address that is none: each request that chose the host
+  # failed as an internal error, and tasks ended.
+  Scenario Outline: a host with the address "<address>" cannot be reached
+    When a node connects to a host with the address "<address>"
+    Then the attempt ends as "peer_unreachable"
+
+    Examples:
+      | address               |
+      | 127.0.0.1:0           |
+      | 127.0.0.1:65536       |
+      | 127.0.0.1:99999999999 |
+      | 127.0.0.1:            |
+      | nowhere               |
+      | a..b:1                |
--- a/packages/cactushook-node/src/cactushook_node/link_pool.py
+++ b/packages/cactushook-node/src/cactushook_node/link_pool.py
@@ -82,6 +82,8 @@
         except trio.TooSlowError as error:
             self._environment.mark_peer_silent(address)
             raise _unreachable(address, "it does not respond") from error
+        except ValueError as error:
+            raise _unreachable(address, f"the address is not valid: {error}") from error
         except OSError as error:
             # The host responds, though no node runs there.
             self._environment.mark_peer_responding(address)
