Report an answer nested too deeply as one line in the status command

What operators would have seen: a traceback from `cactushook status` or `explain` in front of an address that answers with deeply nested JSON. Looked for elsewhere: versions, patches, records and configuration catch it; the built-in platform's client and the published head cannot meet it, since their types refuse unknown fields and nested values before they are read (tried with lists and objects of 100,000 levels at six places). Change: it is an invalid answer. Seen to fail without the change: the new scenario, with RecursionError (10 passed, 1 failed). With it 11 passed.

--- a/features/product_node.feature
+++ b/features/product_node.feature
@@ -124,3 +124,8 @@
       |                                                       |
     Then the transcript equals the golden file "cli_strangers"
     And every exit status is 1
+
+  # JSON nested too deeply raises an error that is none of the decoder's.
+  Scenario: an answer nested too deeply does not end the command with a traceback
+    When the status command queries an address whose answer is nested 100000 levels deep
+    Then it ends with status 1 and one line that names the address
--- a/features/steps/product_node.py
+++ b/features/steps/product_node.py
@@ -272,19 +272,42 @@
     context.outcomes = []
     for row in context.table:
         raw = ast.literal_eval(f"b'{row['answer']}'")
-        with socket.create_server(("127.0.0.1", 0)) as server:
-            address = f"127.0.0.1:{server.getsockname()[1]}"
-            thread = threading.Thread(target=answer_once, args=(server, raw))
-            thread.start()
-            outcome = command.run_here(["status", "--node", address])
-            thread.join(STOP_TIMEOUT_S)
+        address, outcome = query_status(raw)
         context.outcomes.append(outcome)
         lines = [line.replace(address, "NODE") for line in outcome.lines()]
         context.transcript += [f"$ {row['answer']}", *lines]
 
 
+def query_status(raw):
+    """Returns the address that sent an answer and the command's outcome."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        thread = threading.Thread(target=answer_once, args=(server, raw))
+        thread.start()
+        try:
+            return address, command.run_here(["status", "--node", address])
+        finally:
+            thread.join(STOP_TIMEOUT_S)
+
+
 def answer_once(server, raw):
     connection, _ = server.accept()
     with connection:
         connection.recv(65_536)
         connection.sendall(raw)
+
+
+@when(
+    "the status command queries an address whose answer is nested {depth:d} levels deep"
+)
+def nested_queried(context, depth):
+    body = b'{"more": ' + depth * b"[" + depth * b"]" + b"}"
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+    context.address, context.outcome = query_status(head + body)
+
+
+@then("it ends with status 1 and one line that names the address")
+def ends_with_line(context):
+    outcome = context.outcome
+    assert outcome.code == 1 and not outcome.out, outcome
+    assert len(outcome.err.splitlines()) == 1 and context.address in outcome.err
--- a/packages/cactushook-cli/src/cactushook_cli/client.py
+++ b/packages/cactushook-cli/src/cactushook_cli/client.py
@@ -24,7 +24,7 @@
     raw = _fetch(node, target)
     try:
         return msgspec.json.decode(raw, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SourceError(
             ErrorKind.PEER_UNREACHABLE, f"{node} sent an invalid answer: {error}"
         ) from error
