Serve the requests of running work until a stopping node's work ends

What callers saw: a request that ran beside a stopping node failed with the worker's 500 if the worker made a request of its own after the linger time.

Cause: at the end of the linger time the node closed its addresses for callers and their idle connections, the worker's among them, though work still ran at the worker.

Change: the gate refuses new work from the end of the linger time on, as before; the addresses close once the work at the worker has ended, at the latest when requests must have ended.

--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -39,6 +39,7 @@
 
 READY_CHECK_MS = 50
 LOG_PERIOD_MS = 50
+IDLE_POLL_S = 0.02
 
 
 class Node:
@@ -234,12 +235,20 @@
             # With an adapter the node does not announce its stop, so the gate accepts
             # requests until the end of the linger time.
             self.gate.drain()
+            await self._wait_for_own_work()
             await self.edge.stop_accepting()
             while not self._is_idle:
-                await trio.sleep(0.02)
+                await trio.sleep(IDLE_POLL_S)
             await self.links.leave()
         environment.log.info("stopped")
 
+    async def _wait_for_own_work(self) -> None:
+        """Waits for work at the backend server, which may make requests at the edge."""
+        environment = self.environment
+        ends_ms = environment.board.serving_ends_ms.value
+        while not self.gate.is_idle and environment.now_ms() < ends_ms:
+            await trio.sleep(IDLE_POLL_S)
+
     @property
     def _is_idle(self) -> bool:
         return self.gate.is_idle and self.entry.is_idle and self.edge.is_idle
