Log when the store tells of a new era of its history

The store's answers carry the header Store-Era, which rises by one when the store comes back from an older copy. The log showed 410 answers only, which a dropped history causes as well. Nothing decides by it yet.

--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -57,6 +57,7 @@
         self._must_read = True
         self._backoff_ms = FIRST_BACKOFF_MS
         self._last_answer_ms = float("-inf")
+        self._era: int | None = None
 
     def set_enabled(self, enabled: bool) -> None:
         """Starts or stops reading and watching the store."""
@@ -106,12 +107,23 @@
         self._environment.log.debug(
             "store_read", revision=reading.revision, count=len(reading.items)
         )
+        self._log_era(reading)
         known_revision = self._revision()
         self._on_reading(reading)
         self._must_read = self._is_long(reading) and self._revision() > known_revision
         if reading.items:
             await trio.sleep(WATCH_PAUSE_MS / 1_000)
 
+    def _log_era(self, reading: Reading) -> None:
+        if self._era not in (None, reading.era):
+            self._environment.log.warning(
+                "store_era_changed",
+                era=reading.era,
+                revision=reading.revision,
+                known_revision=self._revision(),
+            )
+        self._era = reading.era
+
     def _is_long(self, reading: Reading) -> bool:
         """Returns whether a reading kept the host's link busy for long.
 
--- a/packages/cactushook/src/cactushook/replica.py
+++ b/packages/cactushook/src/cactushook/replica.py
@@ -36,11 +36,13 @@
         items: values and removals.
         revision: the store's counter up to which changes are included.
         base: the revision after which changes are included; 0 for all values.
+        era: number of the store's history; a higher one began from an older copy.
     """
 
     items: tuple[Item, ...]
     revision: int
     base: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
