Tell a restored store's histories apart

Cause: a position in the store's history was one number, its revision, and "higher is newer" was the rule everywhere. It holds only within one history. A store that is restored counts on from the copy and gives revisions out again. So every whole reading was dropped as older (no store_changed from 17.4 to 22.0 s), every watch was answered 410, and when the counter had passed the nodes' revision, the changes below it were missing for ever: version 15 had revision 15, which the nodes knew as version 12.

A replica holds content of one era; a whole reading of a later one replaces everything, changes are merged only within an era, and peers are given everything if they are in another one. A watch answered in another era is no list of changes even if its status is 200. A probe that tells of a later era ends the watch. Messages between nodes carry the era, and every comparison between nodes compares positions; deltas are used within an era only.

--- a/features/steps/replica_model.py
+++ b/features/steps/replica_model.py
@@ -1,5 +1,6 @@
 """Steps that play generated events on several nodes' copies of the store."""
 
+import dataclasses
 import unittest.mock
 
 import hypothesis
@@ -17,34 +18,54 @@
 
 
 class Store:
-    """A store that remembers its state at each revision."""
+    """A store that remembers its state at each position of its history."""
 
     def __init__(self):
-        self.states = [{}]
+        self._eras = [[{}]]
+
+    @property
+    def era(self):
+        return len(self._eras) - 1
 
     @property
     def revision(self):
-        return len(self.states) - 1
+        return len(self._eras[-1]) - 1
+
+    def state_at(self, position):
+        """Returns the state; None if the store has never been there."""
+        states = self._eras[position.era]
+        return states[position.revision] if position.revision < len(states) else None
 
     def write(self, key):
         revision = self.revision + 1
-        item = Item(key, str(revision).encode(), revision)
-        self.states.append({**self.states[-1], key: item})
+        item = Item(key, f"{self.era}/{revision}".encode(), revision)
+        self._eras[-1].append({**self._eras[-1][-1], key: item})
 
     def remove(self, key):
-        state = dict(self.states[-1])
+        state = dict(self._eras[-1][-1])
         state.pop(key, None)
-        self.states.append(state)
+        self._eras[-1].append(state)
+
+    def restore(self, revision):
+        self._eras.append(self._eras[-1][: revision + 1])
 
     def read(self):
-        return Reading(tuple(self.states[-1].values()), self.revision)
+        items = tuple(self._eras[-1][-1].values())
+        return Reading(items, self.revision, era=self.era)
+
+    def watch(self, after):
+        """Returns the writes after a revision, whatever era it was known in."""
+        state = self._eras[-1][-1]
+        items = tuple(i for i in state.values() if i.revision > after)
+        return Reading(items, self.revision, after, self.era)
 
 
 class Model:
     """A store and its copies; messages between nodes may be late or doubled."""
 
-    def __init__(self, draw, count):
+    def __init__(self, draw, count, is_restored):
         self._draw = draw
+        self._is_restored = is_restored
         self._store = Store()
         self._copies = [Replica() for _ in range(count)]
         self._messages = []
@@ -58,6 +79,7 @@
             self._tell_peer,
             self._deliver,
             self._restart,
+            *((self._restore, self._watch_store) if self._is_restored else ()),
         )
         for _ in range(count):
             self._draw(st.sampled_from(events))()
@@ -65,8 +87,8 @@
 
     def _compare(self):
         for copy in self._copies:
-            if dict(copy.items) != self._store.states[copy.revision]:
-                self.wrong.append((copy.revision, dict(copy.items)))
+            if dict(copy.items) != self._store.state_at(copy.position):
+                self.wrong.append((copy.position, dict(copy.items)))
 
     def _draw_index(self):
         return self._draw(st.integers(0, len(self._copies) - 1))
@@ -82,7 +104,7 @@
 
     def _tell_peer(self):
         source, target = self._draw_index(), self._draw_index()
-        after = self._copies[target].revision
+        after = self._copies[target].position
         reading = self._copies[source].changes_since(after)
         self._messages.append((target, reading))
 
@@ -93,13 +115,22 @@
         target, reading = self._messages[index]
         if not self._draw(st.booleans()):
             del self._messages[index]
-        revision = self._copies[target].revision
+        position = self._copies[target].position
         self._copies[target].merge(reading)
-        assert self._copies[target].revision >= revision
+        assert self._copies[target].position >= position
 
     def _restart(self):
         self._copies[self._draw_index()] = Replica()
 
+    def _restore(self):
+        self._store.restore(self._draw(st.integers(0, self._store.revision)))
+
+    def _watch_store(self):
+        """Takes in changes that another era's revision was the base of."""
+        copy = self._copies[self._draw_index()]
+        if copy.era != self._store.era and copy.revision <= self._store.revision:
+            copy.merge(self._store.watch(copy.revision))
+
 
 @given("copies that keep what a whole reading omits")
 def keeps_unlisted(context):
@@ -107,28 +138,49 @@
     context.resources.enter_context(patch)
 
 
+@given("copies that do not tell the store's eras apart")
+def ignores_eras(context):
+    merge = Replica.merge
+
+    def merge_any(replica, reading):
+        replica.era = max(replica.era, reading.era)
+        return merge(replica, dataclasses.replace(reading, era=replica.era))
+
+    patch = unittest.mock.patch.object(Replica, "merge", merge_any)
+    context.resources.enter_context(patch)
+
+
 @when(
     "{count:d} generated series of {length:d} events are played on the copies of "
     "{nodes:d} nodes"
 )
-def copies_played(context, count, length, nodes):
+def copies_played(context, count, length, nodes, is_restored=False):
     context.wrong = []
 
     @hypothesis.settings(generated.PROPER, max_examples=count)
     @hypothesis.given(st.data())
     def play(data):
-        model = Model(data.draw, nodes)
+        model = Model(data.draw, nodes, is_restored)
         model.play(length)
         context.wrong += model.wrong
 
     play()
 
 
-@then("each copy always equals the store at the copy's revision")
+@when(
+    "{count:d} generated series of {length:d} events, with a store that is restored, "
+    "are played on the copies of {nodes:d} nodes"
+)
+def restored_copies_played(context, count, length, nodes):
+    copies_played(context, count, length, nodes, is_restored=True)
+
+
+@then("each copy always equals the store at the copy's position")
 def copies_equal(context):
     assert not context.wrong, context.wrong[:3]
 
 
+@then("a copy was found that does not equal the store")
 @then("a copy was found that holds what the store had removed")
 def copy_found(context):
     assert context.wrong
--- a/packages/cactushook-node/src/cactushook_node/adapters.py
+++ b/packages/cactushook-node/src/cactushook_node/adapters.py
@@ -7,6 +7,7 @@
 from cactushook import ErrorKind
 from cactushook.fleet import Fleet
 from cactushook.replica import Item
+from cactushook.replica import Position
 from cactushook.replica import Reading
 
 from .metrics import Metrics
@@ -23,16 +24,17 @@
             SourceError: the store did not answer, or its answer cannot be used.
         """
 
-    async def watch(self, after: int) -> Reading:
-        """Waits for changes after a revision; the reading may be empty.
+    async def watch(self, after: Position) -> Reading:
+        """Waits for changes after a position; the reading may be empty.
 
         Raises:
             SourceError: the store did not answer, or its answer cannot be used;
-                after the kind ``SOURCE_HISTORY_LOST`` all values must be read again.
+                after the kind ``SOURCE_HISTORY_LOST``, also raised if the store has
+                begun another era, all values must be read again.
         """
 
-    async def probe(self) -> None:
-        """Checks at low cost whether the store answers.
+    async def probe(self) -> int:
+        """Checks at low cost whether the store answers, and returns its era.
 
         Raises:
             SourceError: the store does not answer.
--- a/packages/cactushook-node/src/cactushook_node/change_feed.py
+++ b/packages/cactushook-node/src/cactushook_node/change_feed.py
@@ -10,6 +10,7 @@
 from cactushook import RequestError
 from cactushook import WireError
 from cactushook.replica import Item
+from cactushook.replica import Position
 from cactushook.replica import Reading
 from cactushook.replica import Replica
 from cactushook.upstreams import Upstreams
@@ -35,7 +36,7 @@
 class _Follower:
     expires_ms: float
     push: bool
-    revision: int
+    position: Position
     sent_ms: float = float("-inf")
 
 
@@ -90,15 +91,16 @@
         """Records a follower's subscription and sends it the changes that it lacks."""
         now_ms = self._environment.now_ms()
         known = self._followers.get(link)
-        if known is None or known.revision < message.after:
-            known = _Follower(0, message.push, message.after)
+        after = Position(message.era, message.after)
+        if known is None or known.position < after:
+            known = _Follower(0, message.push, after)
             self._followers[link] = known
         known.push = message.push
         known.expires_ms = now_ms + LEASE_MS
         may_resend = now_ms - known.sent_ms > RESEND_MS
-        if message.after < self._replica.revision and message.push:
+        if after < self._replica.position and message.push:
             if may_resend:
-                known.revision = message.after
+                known.position = after
             self._send_changes(link, known, now_ms)
         link.send_soon(self.revision_message(answer=True))
 
@@ -108,7 +110,8 @@
             return
         now_ms = self._environment.now_ms()
         address = link.peer_hello.host.address
-        if message.fresh and message.revision >= self._replica.revision:
+        position = Position(message.era, message.revision)
+        if message.fresh and position >= self._replica.position:
             self.upstreams.on_upstream_status(address, True, now_ms)
         elif message.answer and not message.fresh:
             self.upstreams.on_upstream_status(address, False, now_ms)
@@ -130,16 +133,17 @@
                 link.send_soon(self.revision_message(answer=False))
 
     def revision_message(self, answer: bool) -> wire.Message:
-        """Returns a message with the revision and freshness of the node's replica."""
+        """Returns a message with the position and freshness of the node's replica."""
         fresh = self._is_fresh(self._environment.now_ms())
-        return wire.RevisionMessage(self._replica.revision, answer, fresh)
+        replica = self._replica
+        return wire.RevisionMessage(replica.revision, answer, fresh, replica.era)
 
     def _send_changes(self, link: Link, follower: _Follower, now_ms: float) -> None:
-        if follower.revision >= self._replica.revision:
+        if follower.position >= self._replica.position:
             return
-        reading = self._replica.changes_since(follower.revision)
+        reading = self._replica.changes_since(follower.position)
         link.send_soon(_changes_to_message(reading, self._replica))
-        follower.revision = self._replica.revision
+        follower.position = self._replica.position
         follower.sent_ms = now_ms
 
     async def _subscribe(self, address: str, push: bool) -> None:
@@ -151,13 +155,14 @@
             )
             self.upstreams.mark_unavailable(address, self._environment.now_ms())
             return
-        await link.send(wire.FollowMessage(self._replica.revision, push))
+        replica = self._replica
+        await link.send(wire.FollowMessage(replica.revision, push, replica.era))
 
 
 def reading_to_message(reading: Reading) -> wire.Message:
     """Converts a reading to its message."""
     items = [_item_to_message(item) for item in reading.items]
-    return wire.ItemsMessage(reading.base, reading.revision, items)
+    return wire.ItemsMessage(reading.base, reading.revision, items, reading.era)
 
 
 def reading_from_message(message: wire.Message, replica: Replica) -> Reading | None:
@@ -166,13 +171,13 @@
     Raises:
         WireError: a value cannot be inflated, or a delta cannot be applied.
     """
-    if any(_lacks_base(item, replica) for item in message.items):
+    if any(_lacks_base(item, message.era, replica) for item in message.items):
         return None
     items = tuple(
         Item(item.key, _decode_value(item, replica), item.revision, item.deleted)
         for item in message.items
     )
-    return Reading(items, message.revision, message.base)
+    return Reading(items, message.revision, message.base, message.era)
 
 
 def _changes_to_message(reading: Reading, replica: Replica) -> wire.Message:
@@ -183,7 +188,7 @@
     items = [
         _item_to_delta_message(item, reading.base, replica) for item in reading.items
     ]
-    return wire.ItemsMessage(reading.base, reading.revision, items)
+    return wire.ItemsMessage(reading.base, reading.revision, items, reading.era)
 
 
 def _item_to_delta_message(item: Item, base: int, replica: Replica) -> wire.Message:
@@ -199,11 +204,11 @@
     return zlib.compress(deltas.encode(before, value), DEFLATE_LEVEL)
 
 
-def _lacks_base(item: wire.Message, replica: Replica) -> bool:
+def _lacks_base(item: wire.Message, era: int, replica: Replica) -> bool:
     if not item.base_revision:
         return False
     known = replica.get(item.key)
-    return known is None or known.revision != item.base_revision
+    return era != replica.era or known is None or known.revision != item.base_revision
 
 
 def _item_to_message(item: Item) -> wire.Message:
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -18,6 +18,7 @@
 from cactushook.boot import VersionReadiness
 from cactushook.fleet import Fleet
 from cactushook.replica import Item
+from cactushook.replica import Position
 from cactushook.replica import Reading
 from cactushook.replica import Replica
 
@@ -80,7 +81,7 @@
         self._reader = StoreReader(
             environment,
             adapter.source,
-            lambda: self._replica.revision,
+            lambda: self._replica.position,
             self._on_reading,
             self._on_outage,
         )
@@ -122,9 +123,8 @@
             case wire.FollowMessage():
                 self._change_feed.on_follow(link, message)
             case wire.ItemsPullMessage():
-                link.send_soon(
-                    reading_to_message(self._replica.changes_since(message.after))
-                )
+                after = Position(message.era, message.after)
+                link.send_soon(reading_to_message(self._replica.changes_since(after)))
             case wire.ItemsMessage():
                 self._handle_items(link, message)
             case _:
@@ -136,7 +136,7 @@
     def _handle_items(self, link: Link, message: wire.Message) -> None:
         reading = reading_from_message(message, self._replica)
         if reading is None:
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
             return
         self._merge(reading, "peer")
 
@@ -194,8 +194,10 @@
     def _merge(self, reading: Reading, origin: str) -> None:
         environment = self._environment
         before = self._replica.items.copy()
+        known = self._replica.position
         changes = self._replica.merge(reading)
-        if not changes:
+        self._log_era(known)
+        if not changes and self._replica.era == known.era:
             return
         environment.log.info(
             "store_changed",
@@ -208,6 +210,16 @@
         self._publish()
         self._change_feed.publish()
 
+    def _log_era(self, known: Position) -> None:
+        replica = self._replica
+        if known.revision and replica.era != known.era:
+            self._environment.log.warning(
+                "store_era_changed",
+                era=replica.era,
+                revision=replica.revision,
+                known_revision=known.revision,
+            )
+
     def _keep_lapsed_records(
         self, changes: t.Iterable[Item], before: t.Mapping[str, Item]
     ) -> None:
@@ -280,16 +292,20 @@
         self._logged_faults = texts
 
     def _on_revision(self, link: Link, message: wire.Message) -> None:
-        own = self._replica.revision
-        if message.revision > own:
-            self._schedule_pull(link, message.revision)
-        elif message.revision < own and not message.answer:
+        own = self._replica.position
+        position = Position(message.era, message.revision)
+        if position > own:
+            self._schedule_pull(link, position)
+        elif position < own and not message.answer:
             link.send_soon(self._change_feed.revision_message(answer=True))
 
-    def _schedule_pull(self, link: Link, revision: int) -> None:
+    def _pull_message(self) -> wire.Message:
+        return wire.ItemsPullMessage(self._replica.revision, self._replica.era)
+
+    def _schedule_pull(self, link: Link, position: Position) -> None:
         environment = self._environment
         if environment.board.source_reachable.value is not True:
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
             return
         if self._is_pull_scheduled:
             return
@@ -297,11 +313,11 @@
 
         def pull(now_ms: float) -> None:
             self._is_pull_scheduled = False
-            if self._replica.revision >= revision:
+            if self._replica.position >= position:
                 return
-            environment.log.warning("watch_behind", peer_revision=revision)
+            environment.log.warning("watch_behind", peer_revision=position.revision)
             self._reader.restart()
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
 
         environment.timers.after(PULL_DELAY_MS, pull)
 
--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -5,6 +5,7 @@
 import trio
 from cactushook import ErrorKind
 from cactushook import SourceError
+from cactushook.replica import Position
 from cactushook.replica import Reading
 
 from .adapters import Source
@@ -31,7 +32,7 @@
     Args:
         environment: the node's central object.
         source: reads the store.
-        revision: returns the revision up to which the node knows the store.
+        position: returns the position up to which the node knows the store.
         on_reading: called with each reading.
         on_outage: called with the reason when a call fails.
     """
@@ -40,14 +41,14 @@
         self,
         environment: Environment,
         source: Source,
-        revision: t.Callable[[], int],
+        position: t.Callable[[], Position],
         on_reading: t.Callable[[Reading], None],
         on_outage: t.Callable[[str], None],
     ) -> None:
         self.is_reader = True
         self._environment = environment
         self._source = source
-        self._revision = revision
+        self._position = position
         self._on_reading = on_reading
         self._on_outage = on_outage
         self._is_enabled = False
@@ -57,7 +58,6 @@
         self._must_read = True
         self._backoff_ms = FIRST_BACKOFF_MS
         self._last_answer_ms = float("-inf")
-        self._era: int | None = None
 
     def set_enabled(self, enabled: bool) -> None:
         """Starts or stops reading and watching the store."""
@@ -107,23 +107,12 @@
         self._environment.log.debug(
             "store_read", revision=reading.revision, count=len(reading.items)
         )
-        self._log_era(reading)
-        known_revision = self._revision()
+        known = self._position()
         self._on_reading(reading)
-        self._must_read = self._is_long(reading) and self._revision() > known_revision
+        self._must_read = self._is_long(reading) and self._position() > known
         if reading.items:
             await trio.sleep(WATCH_PAUSE_MS / 1_000)
 
-    def _log_era(self, reading: Reading) -> None:
-        if self._era not in (None, reading.era):
-            self._environment.log.warning(
-                "store_era_changed",
-                era=reading.era,
-                revision=reading.revision,
-                known_revision=self._revision(),
-            )
-        self._era = reading.era
-
     def _is_long(self, reading: Reading) -> bool:
         """Returns whether a reading kept the host's link busy for long.
 
@@ -141,7 +130,7 @@
             return await self._source.read()
         self._is_watching = True
         try:
-            return await self._source.watch(self._revision())
+            return await self._source.watch(self._position())
         finally:
             self._is_watching = False
 
@@ -168,19 +157,26 @@
             if not self._is_watching:
                 continue
             try:
-                await self._source.probe()
+                era = await self._source.probe()
             except SourceError as error:
                 self._handle_probe_failure(error)
             else:
                 self._record_answer()
+                if era > self._position().era:
+                    self._read_again()
 
     def _handle_probe_failure(self, error: SourceError) -> None:
         if not self._is_watching:
             return
-        self._must_read = True
         self._last_answer_ms = float("-inf")
         self._on_outage(error.message)
-        self._read_scope.cancel()
+        self._read_again()
+
+    def _read_again(self) -> None:
+        """Ends an open watch and reads all values."""
+        if self._is_watching:
+            self._must_read = True
+            self._read_scope.cancel()
 
     def _record_answer(self) -> None:
         self._last_answer_ms = self._environment.now_ms()
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -200,12 +200,13 @@
   6: i64 base_revision = 0,
 }
 
-// Revision of the store up to which the sender has read. With `fresh` set, the sender
+// Position in the store's history up to which the sender has read. With `fresh` set, the sender
 // reads the store itself and the store has just answered its calls.
 struct RevisionMessage {
   1: i64 revision,
   2: bool answer,
   3: bool fresh = 0,
+  4: i64 era = 0,
 }
 
 // Subscribes to changes for a short time; the follower renews it periodically. With
@@ -213,11 +214,13 @@
 struct FollowMessage {
   1: i64 after,
   2: bool push,
+  3: i64 era = 0,
 }
 
-// Requests the changes after a revision.
+// Requests the changes after a position in the store's history.
 struct ItemsPullMessage {
   1: i64 after,
+  2: i64 era = 0,
 }
 
 // Changes after `base`, up to `revision`; all values if `base` is 0.
@@ -225,6 +228,8 @@
   1: i64 base,
   2: i64 revision,
   3: list<StoreItem> items,
+  // Era of the store's history that all revisions belong to.
+  4: i64 era = 0,
 }
 
 union Envelope {
--- a/packages/cactushook-node/src/cactushook_node/wire_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/wire_messages.py
@@ -586,6 +586,7 @@
         1: (TType.I64, "revision", False),
         2: (TType.BOOL, "answer", False),
         3: (TType.BOOL, "fresh", False),
+        4: (TType.I64, "era", False),
     }
 
     def __init__(
@@ -593,10 +594,12 @@
         revision=None,
         answer=None,
         fresh=False,
+        era=0,
     ):
         self.revision = revision
         self.answer = answer
         self.fresh = fresh
+        self.era = era
 
 
 class FollowMessage(TPayload):
@@ -605,15 +608,18 @@
     thrift_spec = {
         1: (TType.I64, "after", False),
         2: (TType.BOOL, "push", False),
+        3: (TType.I64, "era", False),
     }
 
     def __init__(
         self,
         after=None,
         push=None,
+        era=0,
     ):
         self.after = after
         self.push = push
+        self.era = era
 
 
 class ItemsPullMessage(TPayload):
@@ -621,13 +627,16 @@
 
     thrift_spec = {
         1: (TType.I64, "after", False),
+        2: (TType.I64, "era", False),
     }
 
     def __init__(
         self,
         after=None,
+        era=0,
     ):
         self.after = after
+        self.era = era
 
 
 class ItemsMessage(TPayload):
@@ -637,6 +646,7 @@
         1: (TType.I64, "base", False),
         2: (TType.I64, "revision", False),
         3: (TType.LIST, "items", (TType.STRUCT, StoreItem), False),
+        4: (TType.I64, "era", False),
     }
 
     def __init__(
@@ -644,10 +654,12 @@
         base=None,
         revision=None,
         items=None,
+        era=0,
     ):
         self.base = base
         self.revision = revision
         self.items = items
+        self.era = era
 
 
 class Envelope(TPayload):
--- a/packages/cactushook/src/cactushook/replica.py
+++ b/packages/cactushook/src/cactushook/replica.py
@@ -28,6 +28,19 @@
     deleted: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in a store's history; places of a higher era are later.
+
+    Attributes:
+        era: number of the history; a higher one began from an older copy.
+        revision: the store's counter; comparable only within an era.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reading:
     """Values and removals that were read from a store.
@@ -36,7 +49,7 @@
         items: values and removals.
         revision: the store's counter up to which changes are included.
         base: the revision after which changes are included; 0 for all values.
-        era: number of the store's history; a higher one began from an older copy.
+        era: number of the store's history in which all of this holds.
     """
 
     items: tuple[Item, ...]
@@ -44,6 +57,11 @@
     base: int = 0
     era: int = 0
 
+    @property
+    def position(self) -> Position:
+        """Place in the store's history up to which changes are included."""
+        return Position(self.era, self.revision)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Gap:
@@ -54,13 +72,15 @@
 
 
 class Replica:
-    """Holds all values up to a revision, which never decreases.
+    """Holds all values up to a position in the store's history, which never decreases.
 
     Attributes:
+        era: number of the history that the values belong to.
         revision: the store's counter up to which changes are known; 0 at first.
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 0
         self._items: dict[str, Item] = {}
         self._removed: collections.OrderedDict[str, Item] = collections.OrderedDict()
@@ -69,6 +89,11 @@
         self._gaps: collections.deque[_Gap] = collections.deque()
         self._previous_items: dict[str, Item] = {}
 
+    @property
+    def position(self) -> Position:
+        """Place in the store's history up to which changes are known."""
+        return Position(self.era, self.revision)
+
     @property
     def items(self) -> t.Mapping[str, Item]:
         """Values by key."""
@@ -79,9 +104,12 @@
 
         A reading without a base replaces all older values: a value that it omits was
         removed. Pages are read one after another, so single values may be newer than
-        the reading's revision. Known values that are newer stay.
+        the reading's revision. Known values that are newer stay. One of a later era
+        replaces everything, since revisions are given out again.
         """
-        if reading.base > self.revision:
+        if reading.era > self.era and reading.base == 0:
+            return self._start_era(reading)
+        if reading.era != self.era or reading.base > self.revision:
             return ()
         if reading.base == 0 and reading.revision < self.revision:
             return ()
@@ -101,13 +129,32 @@
         """Returns the long value that the current value of a key replaced, or None."""
         return self._previous_items.get(key)
 
-    def changes_since(self, revision: int) -> Reading:
-        """Returns the changes after a revision, or all values if they are not known."""
-        if not self._knows_changes_since(revision):
-            return Reading(tuple(self._items.values()), self.revision)
+    def changes_since(self, position: Position) -> Reading:
+        """Returns the changes after a position, or all values if they are not known."""
+        revision = position.revision
+        if position.era != self.era or not self._knows_changes_since(revision):
+            return Reading(tuple(self._items.values()), self.revision, era=self.era)
         known = (*self._items.values(), *self._removed.values())
         changed = tuple(item for item in known if item.revision > revision)
-        return Reading(changed, self.revision, revision)
+        return Reading(changed, self.revision, revision, self.era)
+
+    def _start_era(self, reading: Reading) -> tuple[Item, ...]:
+        """Replaces everything by a whole reading of a later era."""
+        before = self._items
+        self.era = reading.era
+        self.revision = 0
+        self._items = {}
+        self._removed.clear()
+        self._forgotten_revision = 0
+        self._gaps.clear()
+        self._previous_items.clear()
+        changed = tuple(i for i in self.merge(reading) if before.get(i.key) != i)
+        gone = tuple(
+            Item(key, b"", reading.revision, deleted=True)
+            for key in before
+            if key not in self._items
+        )
+        return changed + gone
 
     def _knows_changes_since(self, revision: int) -> bool:
         if revision == 0 or revision < self._forgotten_revision:
@@ -160,4 +207,4 @@
             self._forgotten_revision = max(self._forgotten_revision, oldest.revision)
 
 
-__all__ = ["Item", "Reading", "Replica"]
+__all__ = ["Item", "Position", "Reading", "Replica"]
