Take callers' limits only from a version that is put in force

What callers would see: after an older configuration in the store, header, body and idle limits of that version, though its routes were refused.

Cause: limits were written to the board before the version was checked. They are now written only if the version is in force. Found while looking for what a restored store could bring back.

Test on the code before: store.feature 14 passed and 1 failed, "callers may stay idle for 15000 ms" with idle_timeout_ms=7000.

--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -13,6 +13,7 @@
 from cactushook import HostState
 from cactushook import Pause
 from cactushook import RequestError
+from cactushook import Snapshot
 from cactushook import WireError
 from cactushook.boot import VersionReadiness
 from cactushook.fleet import Fleet
@@ -257,23 +258,28 @@
         environment.membership.replace_all(fleet.hosts)
         self._change_feed.upstreams.update_hosts(fleet.hosts)
         board = environment.board
-        if fleet.limits is not None and fleet.limits != board.caller_limits.value:
-            board.caller_limits.write(fleet.limits)
-        if fleet.snapshot is not None and fleet.snapshot != environment.store.snapshot:
-            self._apply_snapshot(fleet)
+        if fleet.snapshot is not None and self._apply_snapshot(fleet.snapshot):
+            self._apply_limits(fleet)
         if fleet.own != board.listing.value:
             environment.log.info("worker_listed", listing=repr(fleet.own))
             board.listing.write(fleet.own)
 
-    def _apply_snapshot(self, fleet: Fleet) -> None:
+    def _apply_limits(self, fleet: Fleet) -> None:
+        board = self._environment.board
+        if fleet.limits is not None and fleet.limits != board.caller_limits.value:
+            board.caller_limits.write(fleet.limits)
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> bool:
+        """Puts a snapshot in force unless it is older; returns whether it is."""
         environment = self._environment
-        snapshot = fleet.snapshot
+        if snapshot == environment.store.snapshot:
+            return True
         if not environment.store.apply_snapshot(snapshot):
             environment.metrics.versions_refused.labels(
                 ErrorKind.VERSION_REPLAYED.value
             ).inc()
             environment.log.warning("version_refused", version=snapshot.head.version)
-            return
+            return False
         environment.metrics.versions_applied.inc()
         environment.metrics.version.set(snapshot.head.version)
         environment.log.info(
@@ -283,6 +289,7 @@
             out=[name for name in snapshot.domains if snapshot.is_out(name)],
         )
         environment.board.snapshot.write(snapshot)
+        return True
 
     def _log_faults(self, fleet: Fleet) -> None:
         texts = frozenset(str(fault) for fault in fleet.faults)
