Copy no items while nothing is retained

Each change of the store copied all items once more for the overlay, which is empty but for some seconds after an outage. No figure was measured for it; the features of the overlay pass as before (retention and store: 48 passed).

--- a/packages/cactushook/src/cactushook/retention.py
+++ b/packages/cactushook/src/cactushook/retention.py
@@ -59,8 +59,10 @@
             collections.OrderedDict()
         )
 
-    def overlay(self, items: t.Mapping[str, Item]) -> dict[str, Item]:
+    def overlay(self, items: t.Mapping[str, Item]) -> t.Mapping[str, Item]:
         """Returns the store's items with what is retained in their place."""
+        if not self._retained:
+            return items
         merged = dict(items)
         for key, known in self._retained.items():
             if known.item is None:
