--- a/packages/cactushook-node/src/cactushook_node/adapters.py
+++ b/packages/cactushook-node/src/cactushook_node/adapters.py
@@ -7,7 +7,9 @@
 from cactushook import ErrorKind
 from cactushook.fleet import Fleet
 from cactushook.replica import Item
+from cactushook.replica import Position
 from cactushook.replica import Reading
+from cactushook.retention import ContentOrder
 
 from .metrics import Metrics
 from .settings import Settings
@@ -23,16 +25,17 @@
             SourceError: the store did not answer, or its answer cannot be used.
         """
 
-    async def watch(self, after: int) -> Reading:
-        """Waits for changes after a revision; the reading may be empty.
+    async def watch(self, after: Position) -> Reading:
+        """Waits for changes after a position; the reading may be empty.
 
         Raises:
             SourceError: the store did not answer, or its answer cannot be used;
-                after the kind ``SOURCE_HISTORY_LOST`` all values must be read again.
+                after the kind ``SOURCE_HISTORY_LOST``, also raised if the store has
+                begun another era, all values must be read again.
         """
 
-    async def probe(self) -> None:
-        """Checks at low cost whether the store answers.
+    async def probe(self) -> int:
+        """Checks at low cost whether the store answers, and returns its era.
 
         Raises:
             SourceError: the store does not answer.
@@ -50,6 +53,9 @@
     def fleet(self, items: t.Mapping[str, Item]) -> Fleet:
         """Decodes the store's values and leaves out records that cannot be used."""
 
+    def content_order(self, item: Item) -> ContentOrder | None:
+        """Returns a value's place among those written for its key; None if unknown."""
+
 
 def create_adapter(settings: Settings, metrics: Metrics) -> Adapter | None:
     """Creates the adapter that the settings name; returns None if they name none.
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -7,19 +7,21 @@
 with random peers, so that a node whose upstreams lag detects this.
 """
 
-import dataclasses
 import typing as t
 
 from cactushook import ErrorKind
 from cactushook import HostState
 from cactushook import Pause
 from cactushook import RequestError
+from cactushook import Snapshot
 from cactushook import WireError
 from cactushook.boot import VersionReadiness
 from cactushook.fleet import Fleet
 from cactushook.replica import Item
+from cactushook.replica import Position
 from cactushook.replica import Reading
 from cactushook.replica import Replica
+from cactushook.retention import Retention
 
 from . import wire
 from .adapters import Adapter
@@ -40,7 +42,7 @@
 OUTAGE_MS = 1_000.0
 # Time without an up-to-date reader after which the store counts as unreachable.
 STALE_MS = 300.0
-LAPSED_CHECK_PERIOD_MS = 100
+RETENTION_CHECK_PERIOD_MS = 100
 # Delay of another attempt to put the replica's contents in force after an error.
 PUBLISH_RETRY_MS = 500
 PLACE = "replication"
@@ -48,14 +50,9 @@
 # margin, since the record may have vanished a moment before the node reached the store
 # again.
 LINGER_SHARE = 0.8
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _LapsedRecord:
-    """A record that lapsed while the store was unreachable."""
-
-    item: Item
-    expires_ms: float
+# Heartbeats within which a record is renewed, or has been removed after three missed
+# ones.
+RENEWAL_HEARTBEATS = 4
 
 
 class Replication:
@@ -83,14 +80,17 @@
         self._reader = StoreReader(
             environment,
             adapter.source,
-            lambda: self._replica.revision,
+            lambda: self._replica.position,
             self._on_reading,
             self._on_outage,
         )
         self._change_feed = ChangeFeed(
             environment, links, tasks, self._replica, self._reader.is_fresh
         )
-        self._lapsed_records: dict[str, _LapsedRecord] = {}
+        self._retention = Retention(
+            adapter.content_order,
+            RENEWAL_HEARTBEATS * environment.settings.adapter.heartbeat_ms,
+        )
         self._failing_since_ms: float | None = None
         self._is_pull_scheduled = False
         self._is_publish_scheduled = False
@@ -103,7 +103,7 @@
         environment.timers.every(PLAN_PERIOD_MS, self._apply_plan, first_ms=0)
         period_ms = environment.settings.gossip_period_ms
         environment.timers.every(period_ms, self._gossip, first_ms=0)
-        environment.timers.every(LAPSED_CHECK_PERIOD_MS, self._drop_expired_records)
+        environment.timers.every(RETENTION_CHECK_PERIOD_MS, self._end_retention)
         environment.timers.on_pause(self._on_pause)
 
     def readiness(self) -> VersionReadiness:
@@ -126,9 +126,8 @@
             case wire.FollowMessage():
                 self._change_feed.on_follow(link, message)
             case wire.ItemsPullMessage():
-                link.send_soon(
-                    reading_to_message(self._replica.changes_since(message.after))
-                )
+                after = Position(message.era, message.after)
+                link.send_soon(reading_to_message(self._replica.changes_since(after)))
             case wire.ItemsMessage():
                 self._handle_items(link, message)
             case _:
@@ -140,7 +139,7 @@
     def _handle_items(self, link: Link, message: wire.Message) -> None:
         reading = reading_from_message(message, self._replica)
         if reading is None:
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
             return
         self._merge(reading, "peer")
 
@@ -198,8 +197,13 @@
     def _merge(self, reading: Reading, origin: str) -> None:
         environment = self._environment
         before = self._replica.items.copy()
+        known = self._replica.position
         changes = self._replica.merge(reading)
-        if not changes:
+        if self._replica.era != known.era:
+            self._start_era(known, before)
+        elif changes:
+            self._record_changes(changes, before)
+        else:
             return
         environment.log.info(
             "store_changed",
@@ -208,35 +212,46 @@
             keys=[item.key for item in changes[:20]],
             count=len(changes),
         )
-        self._keep_lapsed_records(changes, before)
         self._publish()
         self._change_feed.publish()
 
-    def _keep_lapsed_records(
-        self, changes: t.Iterable[Item], before: t.Mapping[str, Item]
+    def _start_era(self, known: Position, before: t.Mapping[str, Item]) -> None:
+        """Retains what the node knew until the restored store has caught up."""
+        environment = self._environment
+        replica = self._replica
+        known_items = self._retention.overlay(before)
+        keys = self._retention.start_era(
+            known_items, replica.items, environment.now_ms()
+        )
+        if known.revision:
+            environment.log.warning(
+                "store_era_changed",
+                era=replica.era,
+                revision=replica.revision,
+                known_revision=known.revision,
+                retained=keys[:20],
+            )
+
+    def _record_changes(
+        self, changes: t.Sequence[Item], before: t.Mapping[str, Item]
     ) -> None:
-        """Keeps records removed during an outage, as they may be written again."""
+        """Retains records removed during an outage, as they may be written again."""
         environment = self._environment
-        for item in changes:
-            self._lapsed_records.pop(item.key, None)
+        known_items = self._retention.overlay(before)
+        self._retention.record_changes(changes, before)
         now_ms = environment.now_ms()
         since_ms = self._failing_since_ms
         if since_ms is None or now_ms - since_ms < OUTAGE_MS:
             return
         linger_ms = LINGER_SHARE * environment.settings.adapter.drain_ms
-        removed = [item.key for item in changes if item.deleted and item.key in before]
-        for key in removed:
-            self._lapsed_records[key] = _LapsedRecord(before[key], now_ms + linger_ms)
-        if removed:
-            environment.log.info("records_lapsed", keys=removed, linger_ms=linger_ms)
-
-    def _drop_expired_records(self, now_ms: float) -> None:
-        expired = [
-            k for k, kept in self._lapsed_records.items() if kept.expires_ms <= now_ms
-        ]
-        for key in expired:
-            del self._lapsed_records[key]
-        if expired:
+        lapsed = [i.key for i in changes if i.deleted and i.key in known_items]
+        records = [known_items[key] for key in lapsed]
+        self._retention.retain_lapsed(records, now_ms + linger_ms)
+        if lapsed:
+            environment.log.info("records_lapsed", keys=lapsed, linger_ms=linger_ms)
+
+    def _end_retention(self, now_ms: float) -> None:
+        if self._retention.expire(now_ms):
             self._publish()
 
     def _publish(self) -> None:
@@ -263,29 +278,34 @@
 
     def _put_in_force(self) -> None:
         environment = self._environment
-        lapsed = {key: kept.item for key, kept in self._lapsed_records.items()}
-        fleet = self._adapter.fleet({**lapsed, **self._replica.items})
+        items = self._retention.overlay(self._replica.items)
+        fleet = self._adapter.fleet(items)
         self._log_faults(fleet)
         environment.membership.replace_all(fleet.hosts)
         self._change_feed.upstreams.update_hosts(fleet.hosts)
         board = environment.board
-        if fleet.limits is not None and fleet.limits != board.caller_limits.value:
-            board.caller_limits.write(fleet.limits)
-        if fleet.snapshot is not None and fleet.snapshot != environment.store.snapshot:
-            self._apply_snapshot(fleet)
+        if fleet.snapshot is not None and self._apply_snapshot(fleet.snapshot):
+            self._apply_limits(fleet)
         if fleet.own != board.listing.value:
             environment.log.info("worker_listed", listing=repr(fleet.own))
             board.listing.write(fleet.own)
 
-    def _apply_snapshot(self, fleet: Fleet) -> None:
+    def _apply_limits(self, fleet: Fleet) -> None:
+        board = self._environment.board
+        if fleet.limits is not None and fleet.limits != board.caller_limits.value:
+            board.caller_limits.write(fleet.limits)
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> bool:
+        """Puts a snapshot in force unless it is older; returns whether it is."""
         environment = self._environment
-        snapshot = fleet.snapshot
+        if snapshot == environment.store.snapshot:
+            return True
         if not environment.store.apply_snapshot(snapshot):
             environment.metrics.versions_refused.labels(
                 ErrorKind.VERSION_REPLAYED.value
             ).inc()
             environment.log.warning("version_refused", version=snapshot.head.version)
-            return
+            return False
         environment.metrics.versions_applied.inc()
         environment.metrics.version.set(snapshot.head.version)
         environment.log.info(
@@ -295,6 +315,7 @@
             out=[name for name in snapshot.domains if snapshot.is_out(name)],
         )
         environment.board.snapshot.write(snapshot)
+        return True
 
     def _log_faults(self, fleet: Fleet) -> None:
         texts = frozenset(str(fault) for fault in fleet.faults)
@@ -306,16 +327,20 @@
         self._logged_faults = texts
 
     def _on_revision(self, link: Link, message: wire.Message) -> None:
-        own = self._replica.revision
-        if message.revision > own:
-            self._schedule_pull(link, message.revision)
-        elif message.revision < own and not message.answer:
+        own = self._replica.position
+        position = Position(message.era, message.revision)
+        if position > own:
+            self._schedule_pull(link, position)
+        elif position < own and not message.answer:
             link.send_soon(self._change_feed.revision_message(answer=True))
 
-    def _schedule_pull(self, link: Link, revision: int) -> None:
+    def _pull_message(self) -> wire.Message:
+        return wire.ItemsPullMessage(self._replica.revision, self._replica.era)
+
+    def _schedule_pull(self, link: Link, position: Position) -> None:
         environment = self._environment
         if environment.board.source_reachable.value is not True:
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
             return
         if self._is_pull_scheduled:
             return
@@ -323,11 +348,11 @@
 
         def pull(now_ms: float) -> None:
             self._is_pull_scheduled = False
-            if self._replica.revision >= revision:
+            if self._replica.position >= position:
                 return
-            environment.log.warning("watch_behind", peer_revision=revision)
+            environment.log.warning("watch_behind", peer_revision=position.revision)
             self._reader.restart()
-            link.send_soon(wire.ItemsPullMessage(self._replica.revision))
+            link.send_soon(self._pull_message())
 
         environment.timers.after(PULL_DELAY_MS, pull)
 
