Request the values anew if a peer's change does not fit

What callers would see: an answer cut and requests lost beside a change of the configuration. Cause: a delta that could not be applied to the value here, although both had the same revision, was taken for a broken message and ended the connection to the peer, with all requests on it. Change: the node asks that peer for the missing values, which come whole, and logs changes_incomplete. Damaged messages still end the connection.

--- a/packages/cactushook-node/src/cactushook_node/change_feed.py
+++ b/packages/cactushook-node/src/cactushook_node/change_feed.py
@@ -169,14 +169,18 @@
     """Converts a message to a reading; returns None if the replica lacks a base.
 
     Raises:
-        WireError: a value cannot be inflated, or a delta cannot be applied.
+        WireError: a value cannot be inflated.
     """
     if any(_lacks_base(item, message.era, replica) for item in message.items):
         return None
-    items = tuple(
-        Item(item.key, _decode_value(item, replica), item.revision, item.deleted)
-        for item in message.items
-    )
+    try:
+        items = tuple(
+            Item(item.key, _decode_value(item, replica), item.revision, item.deleted)
+            for item in message.items
+        )
+    except ValueError:
+        # The replica has another value of the base's revision.
+        return None
     return Reading(items, message.revision, message.base, message.era)
 
 
@@ -227,12 +231,7 @@
     if not item.base_revision:
         return value
     known = t.cast(Item, replica.get(item.key))
-    try:
-        return deltas.apply(known.value, value)
-    except ValueError as error:
-        raise WireError(
-            ErrorKind.FRAME_INVALID, f"delta of {item.key!r}: {error}"
-        ) from error
+    return deltas.apply(known.value, value)
 
 
 def _inflate(item: wire.Message) -> bytes:
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -139,6 +139,9 @@
     def _handle_items(self, link: Link, message: wire.Message) -> None:
         reading = reading_from_message(message, self._replica)
         if reading is None:
+            self._environment.log.info(
+                "changes_incomplete", revision=message.revision, era=message.era
+            )
             link.send_soon(self._pull_message())
             return
         self._merge(reading, "peer")
