Give a request that begins late on an idle connection its whole time

What callers would see: 408 for a request that began just before the idle limit, however soon its rest came. Cause: the time to receive a request ended with the connection's idle time. Change: the limit on slow callers counts from the request's first byte, alone.

--- a/features/edge_callers.feature
+++ b/features/edge_callers.feature
@@ -70,6 +70,12 @@
     When the node ends while a caller reads an answer that ends with its connection
     Then that connection is reset
 
+  # Guards against refusing a request as too slow because it began late on an idle connection.
+  Scenario: a request that begins just before the idle limit has the time of any other
+    Given an edge that closes idle connections after 1000 ms
+    When a caller begins its second request after 700 ms and ends it 700 ms on
+    Then both requests are answered
+
   Scenario: an unexpected error in the entry ends one request only
     Given an edge whose entry fails unexpectedly
     When a caller sends two requests
--- a/features/steps/edge_callers.py
+++ b/features/steps/edge_callers.py
@@ -101,6 +101,43 @@
     context.entry = edge_fixtures.ScriptedEntry(failure=ValueError("seeded"))
 
 
+@given("an edge that closes idle connections after {idle_ms:d} ms")
+def closes_idle(context, idle_ms):
+    env = context.environment = edge_fixtures.environment()
+    limits = msgspec.structs.replace(
+        env.settings.limits, idle_timeout_ms=idle_ms, slow_caller_timeout_ms=5_000
+    )
+    env.settings = msgspec.structs.replace(env.settings, limits=limits)
+    context.entry = edge_fixtures.ScriptedEntry(events=(edge_fixtures.whole(b"body"),))
+
+
+@when(
+    "a caller begins its second request after {idle_ms:d} ms and ends it {ms:d} ms on"
+)
+def begins_late(context, idle_ms, ms):
+    first = GET + b"\r\n"
+    last = GET + b"Connection: close\r\n\r\n"
+
+    async def body():
+        async with await edge_fixtures.connect(_public(context)) as stream:
+            await stream.send_all(first)
+            answer = await stream.receive_some(edge_fixtures.PART_BYTES)
+            await trio.sleep(idle_ms / 1_000)
+            await stream.send_all(last[:10])
+            await trio.sleep(ms / 1_000)
+            await stream.send_all(last[10:])
+            rest, _ = await edge_fixtures.read_to_end(stream)
+            context.answers = [answer, rest]
+
+    _run(context, body)
+
+
+@then("both requests are answered")
+def both_answered(context):
+    for answer in context.answers:
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+
+
 def _public(context):
     return context.environment.settings.public_listen
 
--- a/packages/cactushook-node/src/cactushook_node/http_server.py
+++ b/packages/cactushook-node/src/cactushook_node/http_server.py
@@ -200,6 +200,8 @@
         return self.limits.slow_caller_timeout_ms / 1_000
 
     async def _receive(self, scope: trio.CancelScope) -> HttpRequest | None:
+        if not self.is_idle:
+            self._limit_receiving(scope)
         head = await self._next_event(scope)
         if not isinstance(head, h11.Request):
             return None
@@ -229,13 +231,15 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            is_first_part = self.is_idle
             data = await self._stream.receive_some(RECEIVE_BYTES)
-            if self._http.their_state is h11.IDLE:
-                scope.deadline = min(
-                    scope.deadline, trio.current_time() + self._slow_caller_timeout_s
-                )
+            if is_first_part:
+                self._limit_receiving(scope)
             self._http.receive_data(data)
 
+    def _limit_receiving(self, scope: trio.CancelScope) -> None:
+        scope.deadline = trio.current_time() + self._slow_caller_timeout_s
+
     def _check_head(self, head: h11.Request) -> None:
         limits = self.limits
         if len(head.target) > limits.target_bytes:
