Leave other nodes' connections also if work outlasts a stop

What callers would see: peer_lost for requests that reached a stopping node at the end of its stop and had not run. Cause: the node left its connections only once it was idle. Work that outlasted the stop kept it from doing so, and the process ended without a notice. Change: the connections are left when no request may run any more, at the latest; what still runs has the rest of the stop.

--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -237,11 +237,19 @@
             self.gate.drain()
             await self._wait_for_own_work()
             await self.edge.stop_accepting()
+            await self._wait_until_served()
+            await self.links.close()
             while not self._is_idle:
                 await trio.sleep(IDLE_POLL_S)
-            await self.links.close()
         environment.log.info("stopped")
 
+    async def _wait_until_served(self) -> None:
+        """Waits until no request runs, or until requests must have ended."""
+        environment = self.environment
+        ends_ms = environment.board.serving_ends_ms.value
+        while not self._is_idle and environment.now_ms() < ends_ms:
+            await trio.sleep(IDLE_POLL_S)
+
     async def _wait_for_own_work(self) -> None:
         """Waits for work at the backend server, which may make requests at the edge."""
         environment = self.environment
