Count a planned stop from its signal, also if the event loop runs late

What callers would see: requests cut when the platform kills a node that has not ended within the grace. Cause: the stop's time began when its task ran. Change: how late the loop's last turn was is taken off the stop's time. The new scenario fails with the stop's whole limit in its place.

--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -63,3 +63,9 @@
       | 20000          | 6000     | 5600          |
       | 20000          | 10000    | 9600          |
       | 5000           | 10000    | 5000          |
+
+  # Guards against a stop that outlasts the platform's grace as its start was delayed.
+  Scenario: a stop that begins late takes the less time
+    Given a node whose event loop runs 700 ms late
+    When its stop of at most 2600 ms begins
+    Then the stop ends within 1900 ms
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -224,14 +224,14 @@
         environment = self.environment
         environment.log.info("draining")
         environment.board.leaving.write(True)
-        begin_stop(environment)
+        times = begin_stop(environment)
         if not self._has_adapter:
             self.gate.drain()
         environment.board.readiness.write(Readiness(False, "draining"))
         environment.membership.change_state(HostState.LEAVING)
-        with trio.move_on_after(environment.settings.stop_limit_ms / 1_000):
+        with trio.move_on_after(times.limit_ms / 1_000):
             await self.distribution.announce_own_record()
-            await trio.sleep(environment.settings.linger_ms / 1_000)
+            await trio.sleep(times.linger_ms / 1_000)
             # With an adapter the node does not announce its stop, so the gate accepts
             # requests until the end of the linger time.
             self.gate.drain()
--- a/packages/cactushook-node/src/cactushook_node/stops.py
+++ b/packages/cactushook-node/src/cactushook_node/stops.py
@@ -16,10 +16,29 @@
 LAST_ANSWERS_MS = 200
 
 
-def begin_stop(environment: Environment) -> None:
-    """Bounds the time of requests that arrive from now on."""
-    serving_ms = max(0, environment.settings.stop_limit_ms - LAST_ANSWERS_MS)
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """Times of a planned stop, from now on.
+
+    Attributes:
+        limit_ms: longest time that it takes.
+        linger_ms: how long the node serves as before.
+    """
+
+    limit_ms: float
+    linger_ms: float
+
+
+def begin_stop(environment: Environment) -> StopTimes:
+    """Bounds the time of requests that arrive from now on, and of the stop.
+
+    The signal may have waited for the event loop as long as its last turn was late.
+    """
+    settings = environment.settings
+    limit_ms = max(0.0, settings.stop_limit_ms - environment.lag.last_ms)
+    serving_ms = max(0.0, limit_ms - LAST_ANSWERS_MS)
     environment.board.serving_ends_ms.write(environment.now_ms() + serving_ms)
+    return StopTimes(limit_ms, settings.linger_ms)
 
 
 def refuse_outlasting(call: Call, environment: Environment) -> Refusal | None:
