End the linger time of a stop before the stop

What callers would see: requests cut at the end of a short stop, as the node never refused new ones. Cause: nothing related the linger time (2.4 s on the platform) to the stop's limit. With a grace of 2 s the limit is 1.6 s. The new scenario fails on the code before. Change: the node serves as before for at most half of the stop.

--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -398,6 +398,11 @@
     assert context.times.limit_ms == limit_ms, context.times
 
 
+@then("the node serves as before for {linger_ms:d} ms")
+def lingers(context, linger_ms):
+    assert context.times.linger_ms == linger_ms, context.times
+
+
 @when("the platform kills the node {grace_ms:d} ms after SIGTERM")
 def platform_kills(context, grace_ms):
     context.settings = msgspec.convert({**context.raw, "grace_ms": grace_ms}, Settings)
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -69,3 +69,9 @@
     Given a node whose event loop runs 700 ms late
     When its stop of at most 2600 ms begins
     Then the stop ends within 1900 ms
+
+  # Guards against a stop that ends before the node has refused new requests.
+  Scenario: a node with a short stop serves as before for half of it
+    Given a node whose event loop runs 0 ms late
+    When its stop of at most 1000 ms begins
+    Then the node serves as before for 500 ms
--- a/packages/cactushook-node/src/cactushook_node/stops.py
+++ b/packages/cactushook-node/src/cactushook_node/stops.py
@@ -14,6 +14,8 @@
 # Left between the last deadline of a request and the end of the stop, so that answers
 # are sent that arrive just before that deadline.
 LAST_ANSWERS_MS = 200
+# Share of a stop that the node may go on as before.
+MAX_LINGER_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +40,7 @@
     limit_ms = max(0.0, settings.stop_limit_ms - environment.lag.last_ms)
     serving_ms = max(0.0, limit_ms - LAST_ANSWERS_MS)
     environment.board.serving_ends_ms.write(environment.now_ms() + serving_ms)
-    return StopTimes(limit_ms, settings.linger_ms)
+    return StopTimes(limit_ms, min(settings.linger_ms, MAX_LINGER_SHARE * limit_ms))
 
 
 def refuse_outlasting(call: Call, environment: Environment) -> Refusal | None:
