--- a/features/steps/stop_and_reload.py
+++ b/features/steps/stop_and_reload.py
@@ -25,8 +25,8 @@
 from cactushook_node.logs import LineWriter
 from cactushook_node.settings import EdgeLimits
 from cactushook_node.settings import read_settings
-from cactushook_node.stops import begin_stop
 from cactushook_node.settings import Settings
+from cactushook_node.stops import begin_stop
 
 from features import daemon
 from features import edge_fixtures
--- a/features/stop_and_reload.feature
+++ b/features/stop_and_reload.feature
@@ -60,6 +60,7 @@
 
     Examples:
       | drain_limit_ms | grace_ms | stop_limit_ms |
+      | 5400           | 2500     | 2100          |
       | 20000          | 6000     | 5600          |
       | 20000          | 10000    | 9600          |
       | 5000           | 10000    | 5000          |
--- a/packages/cactushook-node/src/cactushook_node/settings.py
+++ b/packages/cactushook-node/src/cactushook_node/settings.py
@@ -18,7 +18,7 @@
 Bytes = t.Annotated[int, msgspec.Meta(ge=1_024, le=1_000_000_000)]
 Count = t.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 LISTEN_FIELDS = ("node_listen", "public_listen", "internal_listen", "admin_listen")
-GraceMs = t.Annotated[int, msgspec.Meta(ge=1_000, le=600_000)]
+GraceMs = t.Annotated[float, msgspec.Meta(ge=1_000, le=600_000)]
 FRAME_OVERHEAD_BYTES = 65_536
 # Left between the end of a planned stop and the platform's kill.
 KILL_MARGIN_MS = 400
@@ -224,7 +224,7 @@
     adapter: AdapterSettings | None = None
 
     @property
-    def stop_limit_ms(self) -> int:
+    def stop_limit_ms(self) -> float:
         """Longest time that a planned stop takes."""
         if self.grace_ms is None:
             return self.drain_limit_ms
