Forget a worker's removal once a restored store has a later record

What callers would see: a live worker gets no requests for some seconds after a second restoration. Cause: a removal stayed known when the copy had a later record of the key, and hid the record at the next restoration. The new scenario fails so on the code before.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -52,6 +52,13 @@
       | removed no rank | no rank   | no rank   | no rank   |
       | removed no rank | no rank   | nothing   | nothing   |
 
+  # Guards against hiding a live record since its key had been removed two eras before.
+  Scenario: a removal is forgotten once a later writing is in force
+    Given a replica that knew removed rank 5
+    When its store is restored and has rank 6
+    And its store is restored and has rank 4
+    Then the value in force is rank 6
+
   Scenario: what is known holds if the store is restored once more
     Given a replica that knew rank 5
     When its store is restored and has rank 4
--- a/packages/cactushook/src/cactushook/retention.py
+++ b/packages/cactushook/src/cactushook/retention.py
@@ -142,6 +142,7 @@
         if order is None:
             hold_ms = ABSENT_HOLD_MS
         elif _is_later(self._order_of(found), order):
+            del self._removed[found.key]
             return
         else:
             hold_ms = self._renewal_ms
