Hold what a restored store lacks while the store cannot be reached

What callers would see: requests into an evacuated failure domain, or to a worker that is gone, if the store goes away again soon after its restoration. Cause: the holds ran on while no owner could write to the store, and while the process did not run. Change: the holds begin anew as long as the store cannot be reached, and after a pause.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -59,6 +59,14 @@
     And its store is restored and has rank 4
     Then the value in force is rank 6
 
+  # Guards against ending a hold while the store is away and no owner can write to it.
+  Scenario: a hold begins anew while the store cannot be reached
+    Given a replica that knew no rank
+    When its store is restored and has nothing
+    And the store cannot be reached for 60 s
+    Then the value in force is no rank
+    And nothing is in force when the hold for absent items has passed again
+
   Scenario: what is known holds if the store is restored once more
     Given a replica that knew rank 5
     When its store is restored and has rank 4
--- a/features/steps/retention.py
+++ b/features/steps/retention.py
@@ -86,6 +86,21 @@
     assert context.node.use() == text, context.node.use()
 
 
+@when("the store cannot be reached for {length_s:d} s")
+def store_unreachable(context, length_s):
+    node = context.node
+    for _ in range(length_s):
+        node.now_ms += 1_000
+        node.retention.renew(node.now_ms)
+        node.use()
+
+
+@then("{text} is in force when the hold for absent items has passed again")
+def uses_after_second_hold(context, text):
+    context.node.now_ms += ABSENT_HOLD_MS
+    node_uses(context, text)
+
+
 @then("{text} is in force when the hold for absent items has passed")
 def uses_after_hold(context, text):
     context.node.now_ms = ABSENT_HOLD_MS
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -254,6 +254,8 @@
             environment.log.info("records_lapsed", keys=lapsed, linger_ms=linger_ms)
 
     def _end_retention(self, now_ms: float) -> None:
+        if self._failing_since_ms is not None:
+            self._retention.renew(now_ms)
         if self._retention.expire(now_ms):
             self._publish()
 
@@ -378,5 +380,6 @@
     def _on_pause(self, pause: Pause) -> None:
         environment = self._environment
         environment.log.warning("paused", length_ms=int(pause.length_ms))
+        self._retention.renew(environment.now_ms())
         self._tasks.start_soon(self._reader.reconnect)
         self._gossip(environment.now_ms())
--- a/packages/cactushook/src/cactushook/retention.py
+++ b/packages/cactushook/src/cactushook/retention.py
@@ -33,11 +33,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Knowledge:
-    """What is retained of a key; the item is None if the key was removed."""
+    """What is retained of a key for a time; the item is None if it was removed."""
 
     item: Item | None
     order: ContentOrder | None
     expires_ms: float
+    hold_ms: float
 
 
 class Retention:
@@ -99,7 +100,7 @@
         for item in items:
             self._removed.pop(item.key, None)
             order = self._order_of(item)
-            self._retained[item.key] = _Knowledge(item, order, expires_ms)
+            self._retained[item.key] = _Knowledge(item, order, expires_ms, 0.0)
 
     def record_changes(
         self, changes: t.Iterable[Item], before: t.Mapping[str, Item]
@@ -116,6 +117,12 @@
             else:
                 self._record_write(item)
 
+    def renew(self, now_ms: float) -> None:
+        """Begins all holds anew, since owners could not write until now."""
+        for key, kept in self._retained.items():
+            expires_ms = max(kept.expires_ms, now_ms + kept.hold_ms)
+            self._retained[key] = dataclasses.replace(kept, expires_ms=expires_ms)
+
     def expire(self, now_ms: float) -> tuple[str, ...]:
         """Returns the keys for which the store's word counts again."""
         expired = [k for k, kept in self._retained.items() if kept.expires_ms <= now_ms]
@@ -129,13 +136,15 @@
             return
         order = self._order_of(known)
         if order is not None and not order.is_renewed:
-            expires_ms = float("inf")
+            hold_ms = float("inf")
         elif found is None:
-            expires_ms = now_ms + ABSENT_HOLD_MS
+            hold_ms = ABSENT_HOLD_MS
         else:
-            expires_ms = now_ms + self._renewal_ms
+            hold_ms = self._renewal_ms
         if found is None or _is_later(order, self._order_of(found)):
-            self._retained[known.key] = _Knowledge(known, order, expires_ms)
+            self._retained[known.key] = _Knowledge(
+                known, order, now_ms + hold_ms, hold_ms
+            )
 
     def _hide_removed(self, found: Item, now_ms: float) -> None:
         order = self._removed[found.key]
@@ -146,7 +155,7 @@
             return
         else:
             hold_ms = self._renewal_ms
-        self._retained[found.key] = _Knowledge(None, order, now_ms + hold_ms)
+        self._retained[found.key] = _Knowledge(None, order, now_ms + hold_ms, hold_ms)
 
     def _record_removal(self, key: str, before: Item | None) -> None:
         kept = self._retained.pop(key, None)
