--- a/features/steps/link_closing.py
+++ b/features/steps/link_closing.py
@@ -22,7 +22,7 @@
 SHORT_BODY = BODY[:16_000]
 TICK_MS = 500
 TICKS = 6
-PINGS = 100
+PINGS = 10_000
 READ_BYTES = 100_000
 SEND_BUFFER_BYTES = 4_096
 RECEIVE_BUFFER_BYTES = 2_304
@@ -32,7 +32,7 @@
 STOP_LIMIT_S = 20
 
 
-def _narrow_stream_pair():
+async def _narrow_stream_pair():
     """Returns the ends of a connection that holds few bytes that are not read."""
     ends = trio.socket.socketpair()
     for end in ends:
@@ -41,16 +41,15 @@
 
 
 async def _tcp_stream_pair():
-    """Returns the ends of a TCP connection, and the socket of the second one.
+    """Returns the ends of a TCP connection.
 
     What the first end sends waits at that end until the second one reads.
     """
     (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-    end = socket.socket()
+    end = trio.socket.socket()
     end.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    end.connect(listener.socket.getsockname())
-    near = await listener.accept()
-    return near, trio.SocketStream(trio.socket.from_stdlib_socket(end)), end
+    await end.connect(listener.socket.getsockname())
+    return await listener.accept(), trio.SocketStream(end)
 
 
 async def _read_until(far, decoder, kind):
@@ -99,26 +98,25 @@
         await link.run()
 
 
-def _run_event(context, before_answer, after_answer):
+def _run_event(context, open_ends, before_answer, after_answer, body=BODY):
     """Causes events before and after a gate answers; reads the answer afterwards."""
 
-    async def body(nursery):
-        near, far = _narrow_stream_pair()
+    async def run(nursery):
+        near, far = await open_ends()
         handler = SlowHandler()
         link = Link(context.environment, near, handler)
         nursery.start_soon(_run_link, link, near)
         decoder = wire.FrameDecoder(2 * len(BODY))
         await _read_until(far, decoder, wire.Hello)
-        await far.send_all(wire.encode(link_fixtures.call(1, body=BODY)))
+        await far.send_all(wire.encode(link_fixtures.call(1, body=body)))
         await before_answer(link, far)
         await _read_all(far, decoder)
         handler.released.set()
-        await trio.testing.wait_all_tasks_blocked()
         await after_answer(link, far)
         await _tick(context.environment, TICKS)
         context.answer = await _read_until(far, decoder, wire.ReplyMessage)
 
-    link_fixtures.run(body)
+    link_fixtures.run(run)
 
 
 async def _nothing(link, far):
@@ -130,39 +128,30 @@
 
 
 async def _leave_unanswered(link, far):
+    await trio.testing.wait_all_tasks_blocked()
     link.on_ping_unanswered()
 
 
+async def _flood(link, far):
+    """Sends more than the gate reads before its answer is written."""
+    data = PINGS * wire.encode(wire.PingMessage(True))
+    with socket.fromfd(far.socket.fileno(), socket.AF_INET, socket.SOCK_STREAM) as end:
+        end.send(data)
+
+
 @when("the entry left the connection while the request ran")
 def entry_leaves(context):
-    _run_event(context, _leave, _nothing)
+    _run_event(context, _narrow_stream_pair, _leave, _nothing)
 
 
 @when("the gate takes the entry for silent")
 def taken_for_silent(context):
-    _run_event(context, _nothing, _leave_unanswered)
+    _run_event(context, _narrow_stream_pair, _nothing, _leave_unanswered)
 
 
 @when("the entry has left it and sends messages that the gate has not read")
 def unread_messages(context):
-    async def body(nursery):
-        near, far, far_socket = await _tcp_stream_pair()
-        handler = SlowHandler()
-        link = Link(context.environment, near, handler)
-        nursery.start_soon(_run_link, link, near)
-        decoder = wire.FrameDecoder(2 * len(BODY))
-        await _read_until(far, decoder, wire.Hello)
-        await far.send_all(wire.encode(link_fixtures.call(1, body=SHORT_BODY)))
-        await _leave(link, far)
-        await _read_all(far, decoder)
-        handler.released.set()
-        await edge_fixtures.wait_until(lambda: link.is_idle)
-        # The gate's tasks do not run before its timers, so it has read none of these.
-        far_socket.send(PINGS * wire.encode(wire.PingMessage(True)))
-        context.environment.timers.advance(context.environment.timers.now_ms + TICK_MS)
-        context.answer = await _read_until(far, decoder, wire.ReplyMessage)
-
-    link_fixtures.run(body)
+    _run_event(context, _tcp_stream_pair, _leave, _flood, SHORT_BODY)
 
 
 @then("the entry gets the whole answer before the connection ends")
@@ -180,7 +169,7 @@
 @when("the node takes the other one for silent while a request is on its way")
 def silent_while_request_crosses(context):
     async def body(nursery):
-        near, far = _narrow_stream_pair()
+        near, far = await _narrow_stream_pair()
         link = Link(context.environment, near, link_fixtures.Handler())
         nursery.start_soon(_run_link, link, near)
         decoder = wire.FrameDecoder(FRAME_BYTES)
