--- a/features/cut_answers.feature
+++ b/features/cut_answers.feature
@@ -19,6 +19,7 @@
       | GET    | no body                       | close  |
       | HEAD   | a length                      | close  |
 
+  # Guards against the same where only the connection's end tells the body's end.
   Scenario Outline: an answer without a length, cut within its head by a <ending>
     Given a node whose worker answers with neither length nor body
     When its worker cuts the answer to a "GET" request after each byte by a <ending>
--- a/features/replica_model.feature
+++ b/features/replica_model.feature
@@ -17,6 +17,7 @@
     When 300 generated series of 60 events, with a store that is restored, are played on the copies of 3 nodes
     Then each copy always equals the store at the copy's position
 
+  # Guards against a model that would not notice such a copy.
   Scenario: a copy that mixes a restored store's histories is found out
     Given copies that do not tell the store's eras apart
     When 40 generated series of 60 events, with a store that is restored, are played on the copies of 3 nodes
--- a/features/retention.feature
+++ b/features/retention.feature
@@ -29,6 +29,7 @@
       | removed no rank | no rank   | nothing   | no rank    | no rank   |
       | nothing         | rank 4    | rank 4    | rank 4     | rank 4    |
 
+  # Guards against taking a late or repeated writing for the latest one.
   Scenario Outline: a node knows <known>, the restored store has <found>, then <written>
     Given a replica that knew <known>
     When its store is restored and has <found>
@@ -67,6 +68,7 @@
     Then the value in force is no rank
     And nothing is in force when the hold for absent items has passed again
 
+  # Guards against forgetting what was retained at the next restoration.
   Scenario: what is known holds if the store is restored once more
     Given a replica that knew rank 5
     When its store is restored and has rank 4
@@ -75,6 +77,7 @@
     When its owner writes rank 4
     Then the value in force is rank 5
 
+  # Guards against forgetting a removal at the next restoration.
   Scenario: what was removed stays gone if the store is restored once more
     Given a replica that knew removed rank 5
     When its store is restored and has rank 4
