--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,13 +2,20 @@
 
 import asyncio
 import pathlib
-import sys
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+from bed import Bed
+from bed import BOUNDS
+from bed import BROKEN
+from bed import CannotRunError
+from bed import HELD
+from bed import limits
+from bed import Message
+from bed import route
+from bed import run_case
+from bed import service
+from bed import Worker
 
-from bed import BOUNDS, BROKEN, HELD, Bed, Message, Worker  # noqa: E402
-from bed import CannotRunError, limits, route, run_case, service  # noqa: E402
+FOLDER = pathlib.Path(__file__).resolve().parent
 
 SERVICE, OTHER = "workshop-files", "order-desk"
 LAYOUT = [(f"zone-{z}", s) for z in "abc" for s in (SERVICE, OTHER)]
@@ -102,8 +109,8 @@
         return HELD
     late = [run for run in crashes[3:] if run.at > crashes[2].at + STABLE_S]
     bed.record.say(
-        f"{len(late)} of them later than {STABLE_S} s after the third, sent by machines "
-        f"in touch; the bound is {MAX_RETRIES}"
+        f"{len(late)} of them later than {STABLE_S} s after the third, sent by "
+        f"machines in touch; the bound is {MAX_RETRIES}"
     )
     return BROKEN if len(late) > MAX_RETRIES else HELD
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import pathlib
-import sys
 
-FOLDER = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "standins"))
+from bed import Bed
+from bed import BOUNDS
+from bed import BROKEN
+from bed import CannotRunError
+from bed import HELD
+from bed import limits
+from bed import route
+from bed import run_case
+from bed import service
+from bed import Worker
 
-from bed import BOUNDS, BROKEN, HELD, Bed, CannotRunError, Worker  # noqa: E402
-from bed import limits, route, run_case, service  # noqa: E402
+FOLDER = pathlib.Path(__file__).resolve().parent
 
 SERVICE = "order-desk"
 LAYOUT = [(f"zone-{z}", SERVICE) for z in "abc" for _ in range(2)]
@@ -94,9 +100,9 @@
     late = [run for run in worker.arrivals if run.at > bound]
     lost = [run for run in late if by_id[run.request_id].status != 200]
     bed.record.say(
-        f"{len(late)} requests, none of which may be repeated, reached the worker later "
-        f"than {BOUNDS['drain_ms']} ms after the acknowledgement that it is draining; "
-        f"{in_flight} ran there as it left, {len(lost)} of them got no answer of it"
+        f"{len(late)} requests, none of which may be repeated, reached the worker "
+        f"later than {BOUNDS['drain_ms']} ms after the acknowledgement that it is "
+        f"draining; {in_flight} ran there as it left, {len(lost)} of them got no answer of it"
     )
     if len([run for run in worker.arrivals if run.at < acked]) < 10:
         raise CannotRunError("the worker got hardly any request before it left")
--- a/review/standins/bed.py
+++ b/review/standins/bed.py
@@ -1,5 +1,7 @@
-"""Test bed of the review's scripts: stand-ins of the platform's store, of workers and
-of requesters, and the project's nodes as processes of their own.
+"""Test bed of the review's scripts.
+
+Holds stand-ins of the platform's store, of workers and of requesters, and runs the
+project's nodes as processes of their own.
 
 Needs only Python's standard library. The stand-ins live in the script's process; each
 node is started with the command of ``deploy/system.toml`` after the build of the deploy
@@ -9,6 +11,7 @@
 
 import asyncio
 import base64
+import contextlib
 import dataclasses
 import json
 import os
@@ -57,7 +60,7 @@
     """
 
     def __init__(self, folder: pathlib.Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+        self._file = (folder / "record.txt").open("w", encoding="utf-8")  # noqa: SIM115
         self._start = time.monotonic()
 
     def now(self) -> float:
@@ -248,10 +251,8 @@
             left_s = ends_s - time.monotonic()
             if events or left_s <= 0:
                 return 200, {"events": events, "current_rev": self._revision}
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left_s)
-            except TimeoutError:
-                pass
 
 
 class QuietingProxy:
@@ -363,7 +364,7 @@
         self.born = 0
         self.running = 0
         self.arrivals: list[Arrival] = []
-        self.on_run: t.Callable[["Worker", Message], None] = lambda w, m: None
+        self.on_run: t.Callable[[Worker, Message], None] = lambda w, m: None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._beats: asyncio.Task[None] | None = None
@@ -660,7 +661,7 @@
             "PYTHONDONTWRITEBYTECODE": "1",
             "CACTUSHOOK_SETTINGS": str(path),
         }
-        log = open(self._temporary / f"{machine.ip}.log", "ab")
+        log = (self._temporary / f"{machine.ip}.log").open("ab")  # noqa: SIM115
         machine.process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=environment, stdout=log, stderr=log
         )
@@ -787,7 +788,7 @@
             writer.close()
 
     async def keep_memory_limit(self, killed: list[Machine]) -> None:
-        """Kills processes that exceed `memory_mb`, as DEPLOY.md says; starts them again.
+        """Kills processes that exceed `memory_mb`, as DEPLOY.md says.
 
         Only anonymous memory counts here, which is less than what a process uses.
         """
