--- a/review/4/case.py
+++ b/review/4/case.py
@@ -102,7 +102,8 @@
     bed.record.say(
         f"{len(late)} requests, none of which may be repeated, reached the worker "
         f"later than {BOUNDS['drain_ms']} ms after the acknowledgement that it is "
-        f"draining; {in_flight} ran there as it left, {len(lost)} of them got no answer of it"
+        f"draining; {in_flight} ran there as it left, {len(lost)} of them got no "
+        "answer of it"
     )
     if len([run for run in worker.arrivals if run.at < acked]) < 10:
         raise CannotRunError("the worker got hardly any request before it left")
