--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A request whose body is within the limits drives a node over its memory."""
+"""A worker's earlier beat, which the store carries out late, undoes its leaving."""
 
 import asyncio
 import pathlib
@@ -7,17 +7,20 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins"))
 
-from bed import BROKEN, HELD, Bed, CannotRunError, Machine, Sent, Worker  # noqa: E402
+from bed import BOUNDS, BROKEN, HELD, Bed, CannotRunError, Worker  # noqa: E402
 from bed import limits, route, run_case, service  # noqa: E402
 
 SERVICE = "order-desk"
-LAYOUT = [(f"zone-{z}", SERVICE) for z in "abc"]
+LAYOUT = [(f"zone-{z}", SERVICE) for z in "abc" for _ in range(2)]
 WORK_MS = 210.0
-# `limits` of the configuration: `body_bytes` 67108864.
-BODY_BYTES = 60_000_000
-ORDINARY_BYTES = 60_000
-KEPT_REQUESTERS = 10
-MAX_CLOSED = 3
+RATE_PER_S = 90
+# `fleetbench kinds`: "late (done 1 to 6 s later)".
+LATE_S = 5.4
+# From the beat that gets no answer to the report that the worker leaves.
+WAIT_S = BOUNDS["stable_window_ms"] / 1000 + 0.2
+# A worker serves on for `drain_ms` after the store has accepted its report and a little
+# longer, and then exits.
+EXIT_S = BOUNDS["drain_ms"] / 1000 + 0.6
 
 
 def configuration() -> dict:
@@ -30,47 +33,74 @@
     """Plays the case and returns the verdict."""
     await bed.start_store()
     bed.store.put("op/config", configuration())
-    for machine in bed.machines:
-        worker = Worker(bed, machine, work_ms=lambda worker, message: WORK_MS)
+    workers = [
+        Worker(bed, machine, work_ms=lambda worker, message: WORK_MS)
+        for machine in bed.machines
+    ]
+    for worker in workers:
         await worker.start()
     for machine in bed.machines:
         await bed.start_node(machine)
     for machine in bed.machines:
         await bed.wait_until_ready(machine)
     await asyncio.sleep(4)
-    target = bed.machines[0]
-    killed: list[Machine] = []
-    ends: list[Sent] = []
-    tasks = [asyncio.create_task(bed.keep_memory_limit(killed))]
-    tasks += [
-        asyncio.create_task(bed.run_kept(target, "POST", f"/orders/{n}", b"x", ends))
-        for n in range(KEPT_REQUESTERS)
-    ]
+    load = asyncio.create_task(send_load(bed))
     try:
-        await asyncio.sleep(4)
-        size = BODY_BYTES if bed.trouble else ORDINARY_BYTES
-        bed.record.say(f"a requester sends a request with a body of {size} bytes")
-        sent = await bed.request(target, "POST", "/orders/long", b"z" * size, 2500)
-        bed.record.say(f"its answer: {sent.status}")
-        await asyncio.sleep(3)
-        return judge(bed, killed, ends)
+        return await play(bed, workers[0])
     finally:
-        for task in tasks:
-            task.cancel()
+        load.cancel()
+
+
+async def send_load(bed: Bed) -> None:
+    """Sends requests to all machines in turn."""
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    async with asyncio.TaskGroup() as group:
+        while True:
+            for machine in bed.machines:
+                group.create_task(bed.request(machine, "POST", "/orders/1", b"x" * 100))
+                due += 1 / RATE_PER_S
+                await asyncio.sleep(max(0.0, due - loop.time()))
+
+
+async def play(bed: Bed, worker: Worker) -> int:
+    """Loses the answer of one beat, lets the worker leave later, and judges."""
+    await asyncio.sleep(2)
+    worker.sequence += 1
+    late_beat, key, sent_at = worker.entry(), worker.key, bed.record.now()
+    bed.record.say(f"beat {late_beat['sequence']} of {worker.instance}: no answer")
+    await asyncio.sleep(WAIT_S)
+    acked = worker.drain()
+    bed.record.say(f"beat {worker.sequence}: it is draining; the store acknowledges it")
+    await asyncio.sleep(max(0.0, sent_at + LATE_S - bed.record.now()))
+    if bed.trouble:
+        bed.store.put_beat(key, late_beat)
+        bed.record.say(
+            f"the store carries out beat {late_beat['sequence']}, which was sent "
+            f"{LATE_S} s ago and says that the worker is ready"
+        )
+    await asyncio.sleep(max(0.0, acked + EXIT_S - bed.record.now()))
+    in_flight = worker.running
+    worker.stop("it has left")
+    bed.store.remove(key)
+    await asyncio.sleep(1.5)
+    return judge(bed, worker, acked, in_flight)
 
 
-def judge(bed: Bed, killed: list[Machine], ends: list[Sent]) -> int:
-    """Counts the requests of kept connections that were passed on and got no answer."""
-    if len([sent for sent in bed.sent if sent.status == 200]) < 50:
-        raise CannotRunError("hardly any request was served")
-    passed_on = {arrival.request_id for arrival in bed.arrivals}
-    lost = [sent for sent in ends if sent.request_id in passed_on]
+def judge(bed: Bed, worker: Worker, acked: float, in_flight: int) -> int:
+    """Counts the requests that reached the worker too late."""
+    bound = acked + BOUNDS["drain_ms"] / 1000
+    by_id = {sent.request_id: sent for sent in bed.sent}
+    late = [run for run in worker.arrivals if run.at > bound]
+    lost = [run for run in late if by_id[run.request_id].status != 200]
     bed.record.say(
-        f"{len(killed)} processes exceeded their memory; {len(lost)} requests of kept "
-        "connections were passed on to a sound worker and the connection closed "
-        f"without an answer; the bound is {MAX_CLOSED}"
+        f"{len(late)} requests, none of which may be repeated, reached the worker later "
+        f"than {BOUNDS['drain_ms']} ms after the acknowledgement that it is draining; "
+        f"{in_flight} ran there as it left, {len(lost)} of them got no answer of it"
     )
-    return BROKEN if len(lost) > MAX_CLOSED else HELD
+    if len([run for run in worker.arrivals if run.at < acked]) < 10:
+        raise CannotRunError("the worker got hardly any request before it left")
+    return BROKEN if late else HELD
 
 
 run_case(FOLDER, LAYOUT, case)
