Order a key's writes by their content, so that a late one undoes nothing

Cause: the store carries out a write without an answer up to seconds later. Its revision is then the highest, and the replica, the listing and the membership took its content, though the owner's count of writes (`born`, `sequence`) is lower. That order was used only between eras of a restored store. On related paths the same cause brought a removed worker back, gave followers the late beat alone (changes are sent by key), and let an older version, which is refused as a whole, keep every later evacuation from being applied.

Change: Retention compares each write with what is known of its key and retains the latter over a write that precedes it: four heartbeats for a record, in which its owner writes again or is removed, for good for a version. The change feed sends the overruling item before the late write. `writes_late` logs the keys and `cactushook_versions_refused` counts them. A node that knows nothing yet takes its first reading as changes, so it learns them too.

Why it works: the content's order is the owner's own, so it does not depend on when the store carries a write out, or on which reading brings it.

--- a/features/retention.feature
+++ b/features/retention.feature
@@ -53,6 +53,56 @@
       | removed no rank | no rank   | no rank   | no rank   |
       | removed no rank | no rank   | nothing   | nothing   |
 
+  # Guards against using a worker that leaves, since the store carried out one of its
+  # earlier writes late.
+  Scenario Outline: a node knows <known>, then the store carries out <written>
+    Given a replica that knew <known>
+    When its owner writes <written>
+    Then the value in force is <first>
+    And <later> is in force when all records have been renewed
+
+    Examples:
+      | known           | written   | first     | later     |
+      | rank 5          | rank 6    | rank 6    | rank 6    |
+      | rank 5          | rank 5    | rank 5    | rank 5    |
+      | rank 5          | rank 4    | rank 5    | rank 4    |
+      | rank 5          | no rank   | no rank   | no rank   |
+      | no rank         | rank 4    | rank 4    | rank 4    |
+      | removed rank 5  | rank 4    | nothing   | rank 4    |
+      | removed rank 5  | rank 5    | rank 5    | rank 5    |
+      | removed rank 5  | rank 6    | rank 6    | rank 6    |
+      | removed no rank | rank 4    | rank 4    | rank 4    |
+      | version 5       | version 4 | version 5 | version 5 |
+
+  # Guards against a late write that counts once the owner has written or left.
+  Scenario Outline: a late write after <known>, then <written>
+    Given a replica that knew <known>
+    When its owner writes rank 3
+    And its owner writes <written>
+    Then the value in force is <used>
+    And <later> is in force when all records have been renewed
+
+    Examples:
+      | known          | written | used    | later   |
+      | rank 5         | rank 4  | rank 5  | rank 4  |
+      | rank 5         | rank 6  | rank 6  | rank 6  |
+      | rank 5         | nothing | nothing | nothing |
+      | removed rank 5 | rank 4  | nothing | rank 4  |
+      | removed rank 5 | rank 6  | rank 6  | rank 6  |
+
+  # Guards against a late write that counts since it came with the one that it precedes.
+  Scenario: a write and an earlier one are read at once
+    Given a replica that knew rank 5
+    When the store carries out rank 7 and rank 6 before the node reads it
+    Then the value in force is rank 7
+
+  # Guards against a removal that a late write hides at the next restoration.
+  Scenario: what a late write undid stays gone if the store is restored
+    Given a replica that knew removed rank 5
+    When its owner writes rank 4
+    And its store is restored and has rank 4
+    Then the value in force is nothing
+
   # Guards against hiding a live record since its key had been removed two eras before.
   Scenario: a removal is forgotten once a later writing is in force
     Given a replica that knew removed rank 5
--- a/features/steps/retention.py
+++ b/features/steps/retention.py
@@ -37,15 +37,20 @@
         self.revision = 1
         self.replica.merge(Reading((), 1))
 
-    def write(self, text, key=KEY):
-        self.revision += 1
+    def write(self, *texts, key=KEY):
+        """Writes values one after the other, which the node reads at once."""
+        base = self.revision
+        items = []
+        for text in texts:
+            self.revision += 1
+            deleted = text == NOTHING
+            value = b"" if deleted else text.encode()
+            items.append(Item(key, value, self.revision, deleted))
         before = self.replica.items.copy()
-        item = Item(key, text.encode(), self.revision)
-        if text == NOTHING:
-            item = Item(key, b"", self.revision, deleted=True)
         era = self.replica.era
-        reading = Reading((item,), self.revision, self.revision - 1, era)
-        self.retention.record_changes(self.replica.merge(reading), before)
+        reading = Reading(tuple(items), self.revision, base, era)
+        changes = self.replica.merge(reading)
+        self.retention.record_changes(changes, before, self.now_ms)
 
     def restore(self, items, revision):
         self.revision = revision
@@ -81,6 +86,11 @@
     context.node.write(text)
 
 
+@when("the store carries out {first} and {second} before the node reads it")
+def written_at_once(context, first, second):
+    context.node.write(first, second)
+
+
 @then("the value in force is {text}")
 def node_uses(context, text):
     assert context.node.use() == text, context.node.use()
@@ -140,7 +150,7 @@
 
     def _write_version(self):
         self._written += 1
-        self._node.write(f"version {self._written}", CONFIGURATION)
+        self._node.write(f"version {self._written}", key=CONFIGURATION)
 
     def _write_record(self):
         self._written += 1
--- a/packages/cactushook-node/src/cactushook_node/change_feed.py
+++ b/packages/cactushook-node/src/cactushook_node/change_feed.py
@@ -49,6 +49,7 @@
         tasks: runs the tasks that send messages.
         replica: the node's replica of the store.
         is_fresh: returns whether the node itself reads the store and is up to date.
+        overruling_items: returns the items after a revision that overrule late writes.
     """
 
     def __init__(
@@ -58,12 +59,14 @@
         tasks: TaskStarter,
         replica: Replica,
         is_fresh: t.Callable[[float], bool],
+        overruling_items: t.Callable[[int], tuple[Item, ...]] = lambda revision: (),
     ) -> None:
         self._environment = environment
         self._links = links
         self._tasks = tasks
         self._replica = replica
         self._is_fresh = is_fresh
+        self._overruling_items = overruling_items
         self._followers: dict[Link, _Follower] = {}
         self._subscribed_ms: dict[str, float] = {}
         self.upstreams = Upstreams(
@@ -132,6 +135,19 @@
             else:
                 link.send_soon(self.revision_message(answer=False))
 
+    def changes_since(self, position: Position) -> Reading:
+        """Returns the changes after a position, or all values.
+
+        An item that overrules a late write comes before that write, since a receiver
+        that gets the late write alone would put it in force.
+        """
+        reading = self._replica.changes_since(position)
+        overruling_items = self._overruling_items(reading.base)
+        if not overruling_items:
+            return reading
+        items = (*overruling_items, *reading.items)
+        return dataclasses.replace(reading, items=items)
+
     def revision_message(self, answer: bool) -> wire.Message:
         """Returns a message with the position and freshness of the node's replica."""
         fresh = self._is_fresh(self._environment.now_ms())
@@ -141,7 +157,7 @@
     def _send_changes(self, link: Link, follower: _Follower, now_ms: float) -> None:
         if follower.position >= self._replica.position:
             return
-        reading = self._replica.changes_since(follower.position)
+        reading = self.changes_since(follower.position)
         link.send_soon(_changes_to_message(reading, self._replica))
         follower.position = self._replica.position
         follower.sent_ms = now_ms
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -84,13 +84,18 @@
             self._on_reading,
             self._on_outage,
         )
-        self._change_feed = ChangeFeed(
-            environment, links, tasks, self._replica, self._reader.is_fresh
-        )
         self._retention = Retention(
             adapter.content_order,
             RENEWAL_HEARTBEATS * environment.settings.adapter.heartbeat_ms,
         )
+        self._change_feed = ChangeFeed(
+            environment,
+            links,
+            tasks,
+            self._replica,
+            self._reader.is_fresh,
+            self._retention.overruling_items,
+        )
         self._failing_since_ms: float | None = None
         self._is_pull_scheduled = False
         self._is_publish_scheduled = False
@@ -127,7 +132,8 @@
                 self._change_feed.on_follow(link, message)
             case wire.ItemsPullMessage():
                 after = Position(message.era, message.after)
-                link.send_soon(reading_to_message(self._replica.changes_since(after)))
+                reading = self._change_feed.changes_since(after)
+                link.send_soon(reading_to_message(reading))
             case wire.ItemsMessage():
                 self._handle_items(link, message)
             case _:
@@ -202,7 +208,7 @@
         before = self._replica.items.copy()
         known = self._replica.position
         changes = self._replica.merge(reading)
-        if self._replica.era != known.era:
+        if known.revision and self._replica.era != known.era:
             self._start_era(known, before)
         elif changes:
             self._record_changes(changes, before)
@@ -226,14 +232,13 @@
         keys = self._retention.start_era(
             known_items, replica.items, environment.now_ms()
         )
-        if known.revision:
-            environment.log.warning(
-                "store_era_changed",
-                era=replica.era,
-                revision=replica.revision,
-                known_revision=known.revision,
-                retained=keys[:20],
-            )
+        environment.log.warning(
+            "store_era_changed",
+            era=replica.era,
+            revision=replica.revision,
+            known_revision=known.revision,
+            retained=keys[:20],
+        )
 
     def _record_changes(
         self, changes: t.Sequence[Item], before: t.Mapping[str, Item]
@@ -241,8 +246,9 @@
         """Retains records removed during an outage, as they may be written again."""
         environment = self._environment
         known_items = self._retention.overlay(before)
-        self._retention.record_changes(changes, before)
         now_ms = environment.now_ms()
+        late_writes = self._retention.record_changes(changes, before, now_ms)
+        self._record_late_writes(late_writes)
         since_ms = self._failing_since_ms
         if since_ms is None or now_ms - since_ms < OUTAGE_MS:
             return
@@ -253,6 +259,14 @@
         if lapsed:
             environment.log.info("records_lapsed", keys=lapsed, linger_ms=linger_ms)
 
+    def _record_late_writes(self, items: t.Sequence[Item]) -> None:
+        if not items:
+            return
+        environment = self._environment
+        counter = environment.metrics.versions_refused
+        counter.labels(ErrorKind.VERSION_REPLAYED.value).inc(len(items))
+        environment.log.warning("writes_late", keys=[item.key for item in items[:20]])
+
     def _end_retention(self, now_ms: float) -> None:
         if self._failing_since_ms is not None:
             self._retention.renew(now_ms)
--- a/packages/cactushook/src/cactushook/retention.py
+++ b/packages/cactushook/src/cactushook/retention.py
@@ -1,8 +1,9 @@
 """Keeps what a node knew of a store while the store may lack what it has acknowledged.
 
-Records may lapse while a store cannot be reached, and a store that is restored from an
-older copy lacks its latest changes. Their owners write them again a moment later. Until
-then, knowledge is retained over the store's word, for a bounded time.
+Records may lapse while a store cannot be reached, a store that is restored from an
+older copy lacks its latest changes, and a write without an answer may be carried out
+after later ones of its owner. The owners write their records again a moment later.
+Until then, knowledge is retained over the store's word, for a bounded time.
 """
 
 import collections
@@ -33,12 +34,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Knowledge:
-    """What is retained of a key for a time; the item is None if it was removed."""
+    """What is retained of a key for a time; the item is None if it was removed.
+
+    An item that overrules a late write belongs to the store's present era.
+    """
 
     item: Item | None
     order: ContentOrder | None
     expires_ms: float
     hold_ms: float
+    overrules_write: bool = False
 
 
 class Retention:
@@ -103,19 +108,42 @@
             self._retained[item.key] = _Knowledge(item, order, expires_ms, 0.0)
 
     def record_changes(
-        self, changes: t.Iterable[Item], before: t.Mapping[str, Item]
-    ) -> None:
+        self,
+        changes: t.Iterable[Item],
+        before: t.Mapping[str, Item],
+        now_ms: float,
+    ) -> tuple[Item, ...]:
         """Records changes within an era.
 
         Args:
-            changes: the values and removals.
+            changes: the values and removals, in the order of the store.
             before: the store's items before the changes.
+            now_ms: the time.
+
+        Returns:
+            The values that precede what their owners had written before; the store's
+            word on them does not count yet.
         """
+        latest: dict[str, Item | None] = {}
+        late_writes = []
         for item in changes:
+            known = latest.get(item.key, before.get(item.key))
+            latest[item.key] = None if item.deleted else item
             if item.deleted:
-                self._record_removal(item.key, before.get(item.key))
-            else:
-                self._record_write(item)
+                self._record_removal(item.key, known)
+            elif self._record_write(item, known, now_ms):
+                late_writes.append(item)
+        return tuple(late_writes)
+
+    def overruling_items(self, after_revision: int) -> tuple[Item, ...]:
+        """Returns the later-written items that overrule what the store has now."""
+        return tuple(
+            kept.item
+            for kept in self._retained.values()
+            if kept.overrules_write
+            and kept.item is not None
+            and kept.item.revision > after_revision
+        )
 
     def renew(self, now_ms: float) -> None:
         """Begins all holds anew, since owners could not write until now."""
@@ -172,11 +200,38 @@
         while len(self._removed) > KEPT_REMOVALS:
             self._removed.popitem(last=False)
 
-    def _record_write(self, item: Item) -> None:
+    def _record_write(self, item: Item, known: Item | None, now_ms: float) -> bool:
+        """Records a write; returns whether it precedes what is known of its key."""
         kept = self._retained.get(item.key)
-        if kept is None or not _is_later(kept.order, self._order_of(item)):
-            self._retained.pop(item.key, None)
-            self._removed.pop(item.key, None)
+        order = self._order_of(item)
+        if kept is not None:
+            if _is_later(kept.order, order):
+                return order is not None
+        elif known is not None:
+            if self._overrule(item.key, known, self._order_of(known), order, now_ms):
+                return True
+        elif self._overrule(item.key, None, self._removed.get(item.key), order, now_ms):
+            return True
+        self._retained.pop(item.key, None)
+        self._removed.pop(item.key, None)
+        return False
+
+    def _overrule(
+        self,
+        key: str,
+        known: Item | None,
+        known_order: ContentOrder | None,
+        order: ContentOrder | None,
+        now_ms: float,
+    ) -> bool:
+        """Retains what is known if a write precedes it; returns whether it does."""
+        if order is None or known_order is None or order.rank >= known_order.rank:
+            return False
+        hold_ms = self._renewal_ms if known_order.is_renewed else float("inf")
+        self._retained[key] = _Knowledge(
+            known, known_order, now_ms + hold_ms, hold_ms, overrules_write=True
+        )
+        return True
 
 
 def _is_later(order: ContentOrder | None, other: ContentOrder | None) -> bool:
