Check for a crash also while the worker is cold

Cause: `WorkerHealthCheck` runs one check at a time, and a check goes on while the worker is cold, as it reads the worker's health until then. A request for a check was dropped while one was running, but the part that reads the health does not look for a crash. A worker that has crashed comes back cold, so each crash within its cold time went unrecorded, and two recorded ones are needed to refuse the request.

Five of the six new scenarios in worker_check.feature failed on the code before; the crash of a warm worker passed.

Change: a request for a check is kept.

Why it works: every failure that may be a crash now leads to a probe after it, whatever the check was doing; nothing depends on the worker being warm.

--- a/packages/cactushook-node/src/cactushook_node/worker_check.py
+++ b/packages/cactushook-node/src/cactushook_node/worker_check.py
@@ -22,6 +22,9 @@
 class WorkerHealthCheck:
     """Checks the backend server after a failure, one check at a time.
 
+    While the backend server is cold, its health is read from time to time. A failure
+    meanwhile leads to another check, since a cold backend server may crash too.
+
     Args:
         environment: the node's central object.
         tasks: runs the checks.
@@ -40,34 +43,55 @@
         self._tasks = tasks
         self._keeper = keeper
         self._on_crash = on_crash
+        self._is_requested = False
         self._is_checking = False
+        self._health_scope = trio.CancelScope()
+        self._next_probe_s = float("-inf")
 
     def start(self, worker: WorkerClient | None) -> None:
-        """Starts a check for a crash, unless one is running.
+        """Requests a check for a crash, which starts at once unless one is running.
 
         Does nothing if the node has no platform adapter.
         """
         needs_listing = self._environment.settings.adapter is not None
-        if needs_listing and worker is not None and not self._is_checking:
-            self._is_checking = True
-            self._tasks.start_soon(self._check, worker)
+        if not needs_listing or worker is None:
+            return
+        self._is_requested = True
+        if self._is_checking:
+            self._health_scope.cancel()
+            return
+        self._is_checking = True
+        self._tasks.start_soon(self._check, worker)
 
     async def _check(self, worker: WorkerClient) -> None:
         try:
-            if not await worker.probe():
-                self._on_down(worker)
-                while not await worker.probe():
-                    await trio.sleep(CHECK_PERIOD_S)
-                now_ms = self._environment.now_ms()
-                self._keeper.on_worker_up(now_ms)
-                self._environment.log.info("worker_reachable")
-            await self.read_health(worker)
-            while self._keeper.is_cold(self._environment.now_ms()):
-                await trio.sleep(2 * CHECK_PERIOD_S)
-                await self.read_health(worker)
+            while self._is_requested:
+                self._is_requested = False
+                await self._check_reachable(worker)
+                with trio.CancelScope() as self._health_scope:
+                    if not self._is_requested:
+                        await self._read_health_while_cold(worker)
         finally:
             self._is_checking = False
 
+    async def _check_reachable(self, worker: WorkerClient) -> None:
+        await trio.sleep_until(self._next_probe_s)
+        self._next_probe_s = trio.current_time() + CHECK_PERIOD_S
+        if await worker.probe():
+            return
+        self._on_down(worker)
+        while not await worker.probe():
+            await trio.sleep(CHECK_PERIOD_S)
+        self._is_requested = False
+        self._keeper.on_worker_up(self._environment.now_ms())
+        self._environment.log.info("worker_reachable")
+
+    async def _read_health_while_cold(self, worker: WorkerClient) -> None:
+        await self.read_health(worker)
+        while self._keeper.is_cold(self._environment.now_ms()):
+            await trio.sleep(2 * CHECK_PERIOD_S)
+            await self.read_health(worker)
+
     def _on_down(self, worker: WorkerClient) -> None:
         environment = self._environment
         worker.close_idle_connections()
