Compare the store's position with the known one while a watch waits

Cause: the watch waited on a silent connection, and the probes that vouch for its path use another one. The reader counted as up to date, so its followers did not look elsewhere, and gossip could not help, since all readers were alike.

Change: `Source.probe` returns the store's position. When nothing has confirmed the known one for a second, the probe is exact; if the watch does not deliver within 0.1 s what the store has, all values are read again. Where that reading brings nothing, the next check waits twice as long, up to 8 s, so a counter that rises by itself costs few readings.

Why it works: what counts is now whether the node knows what the store has, not whether some connection is answered, so any cause that keeps the watch from telling is found.

--- a/packages/cactushook-node/src/cactushook_node/adapters.py
+++ b/packages/cactushook-node/src/cactushook_node/adapters.py
@@ -34,8 +34,12 @@
                 begun another era, all values must be read again.
         """
 
-    async def probe(self) -> int:
-        """Checks at low cost whether the store answers, and returns its era.
+    async def probe(self, exact: bool) -> Position:
+        """Checks whether the store answers, and returns a position that it has reached.
+
+        Args:
+            exact: whether the position must be the store's present one; a probe that
+                need not be exact costs less.
 
         Raises:
             SourceError: the store does not answer.
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -181,8 +181,8 @@
         elif now_ms - self._failing_since_ms > STALE_MS:
             self._set_reachable(False, "no reader is up to date")
 
-    def _on_reading(self, reading: Reading) -> None:
-        self._merge(reading, "store")
+    def _on_reading(self, reading: Reading) -> bool:
+        return self._merge(reading, "store")
 
     def _on_outage(self, reason: str) -> None:
         environment = self._environment
@@ -203,7 +203,8 @@
             self._environment.log.warning("store_failed", reason=reason)
         board.source_reachable.write(reachable)
 
-    def _merge(self, reading: Reading, origin: str) -> None:
+    def _merge(self, reading: Reading, origin: str) -> bool:
+        """Merges a reading into the replica and returns whether it changed anything."""
         environment = self._environment
         before = self._replica.items.copy()
         known = self._replica.position
@@ -213,7 +214,7 @@
         elif changes:
             self._record_changes(changes, before)
         else:
-            return
+            return False
         environment.log.info(
             "store_changed",
             origin=origin,
@@ -223,6 +224,7 @@
         )
         self._publish()
         self._change_feed.publish()
+        return True
 
     def _start_era(self, known: Position, before: t.Mapping[str, Item]) -> None:
         """Retains what the node knew until the restored store has caught up."""
--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -20,6 +20,13 @@
 WATCH_PAUSE_MS = 500.0
 # A waiting watch receives nothing; a probe checks whether its path still works.
 PROBE_PERIOD_MS = 400.0
+# A probe on another connection cannot show that a watch would be answered, so after
+# this time the store's position is compared with the one that is known. The time grows
+# while the store's counter rises without changes.
+POSITION_CHECK_MS = 1_000.0
+MAX_POSITION_CHECK_MS = 8_000.0
+# How long a watch may take to deliver a change that a probe has shown.
+DELIVERY_MS = 100.0
 # A reading that occupies the host's link for more than this time is long.
 LONG_READING_MS = 200.0
 BYTES_PER_MS_OF_MBPS = 125.0
@@ -33,7 +40,7 @@
         environment: the node's central object.
         source: reads the store.
         position: returns the position up to which the node knows the store.
-        on_reading: called with each reading.
+        on_reading: called with each reading; returns whether it changed anything.
         on_outage: called with the reason when a call fails.
     """
 
@@ -42,7 +49,7 @@
         environment: Environment,
         source: Source,
         position: t.Callable[[], Position],
-        on_reading: t.Callable[[Reading], None],
+        on_reading: t.Callable[[Reading], bool],
         on_outage: t.Callable[[str], None],
     ) -> None:
         self.is_reader = True
@@ -58,6 +65,10 @@
         self._must_read = True
         self._backoff_ms = FIRST_BACKOFF_MS
         self._last_answer_ms = float("-inf")
+        # When the store last confirmed that the known position is its present one.
+        self._confirmed_ms = float("-inf")
+        self._position_check_ms = POSITION_CHECK_MS
+        self._is_watch_suspected = False
 
     def set_enabled(self, enabled: bool) -> None:
         """Starts or stops reading and watching the store."""
@@ -108,7 +119,7 @@
             "store_read", revision=reading.revision, count=len(reading.items)
         )
         known = self._position()
-        self._on_reading(reading)
+        self._record_confirmation(self._on_reading(reading))
         self._must_read = self._is_long(reading) and self._position() > known
         if reading.items:
             await trio.sleep(WATCH_PAUSE_MS / 1_000)
@@ -151,19 +162,47 @@
         self._backoff_ms = min(max_backoff_ms, 2 * self._backoff_ms)
 
     async def _run_probes(self) -> None:
-        """Probes the store during a watch to detect a path that no longer works."""
+        """Probes the store during a watch to detect one that hears nothing."""
         while True:
             await trio.sleep(PROBE_PERIOD_MS / 1_000)
-            if not self._is_watching:
-                continue
-            try:
-                era = await self._source.probe()
-            except SourceError as error:
-                self._handle_probe_failure(error)
-            else:
-                self._record_answer()
-                if era > self._position().era:
-                    self._read_again()
+            if self._is_watching:
+                await self._probe()
+
+    async def _probe(self) -> None:
+        sent_ms = self._environment.now_ms()
+        is_due = sent_ms - self._confirmed_ms >= self._position_check_ms
+        try:
+            position = await self._source.probe(exact=is_due)
+        except SourceError as error:
+            self._handle_probe_failure(error)
+            return
+        self._record_answer()
+        if position.era > self._position().era:
+            self._read_again()
+        elif is_due and position > self._position():
+            await self._check_delivery(position)
+        elif is_due:
+            self._confirmed_ms = sent_ms
+
+    async def _check_delivery(self, position: Position) -> None:
+        """Reads all values if the open watch does not deliver what the store has."""
+        scope = self._read_scope
+        await trio.sleep(DELIVERY_MS / 1_000)
+        is_same_watch = self._is_watching and self._read_scope is scope
+        if is_same_watch and position > self._position():
+            self._environment.log.warning("watch_silent", revision=position.revision)
+            self._is_watch_suspected = True
+            self._read_again()
+
+    def _record_confirmation(self, changed: bool) -> None:
+        """Records a reading, and whether a watch was suspected for good reason."""
+        self._confirmed_ms = self._environment.now_ms()
+        if changed:
+            self._position_check_ms = POSITION_CHECK_MS
+        elif self._is_watch_suspected:
+            period_ms = 2 * self._position_check_ms
+            self._position_check_ms = min(MAX_POSITION_CHECK_MS, period_ms)
+        self._is_watch_suspected = False
 
     def _handle_probe_failure(self, error: SourceError) -> None:
         if not self._is_watching:
