Bound the answers of the platform while they are read

An endless head was bounded already.

Why it works: the limit is applied to each piece as it arrives, for every call, and the total time does not begin anew.

--- a/features/run.py
+++ b/features/run.py
@@ -43,6 +43,7 @@
     "processes",
     "distribution_sessions",
     "serving_departure",
+    "endless_answers",
 )
 
 
--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/bounded_http.py
@@ -0,0 +1,79 @@
+"""Reads HTTP answers of the platform within limits on length and time."""
+
+import dataclasses
+import typing as t
+
+import httpcore
+import trio
+from cactushook import ErrorKind
+from cactushook import SourceError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Limits of one call.
+
+    Attributes:
+        connect_s: longest wait for a new connection.
+        pool_s: longest wait for a free connection of the pool.
+        read_s: longest wait for the next bytes.
+        total_s: longest time of the whole call.
+        answer_bytes: greatest length of the answer's body.
+    """
+
+    connect_s: float
+    pool_s: float
+    read_s: float
+    total_s: float
+    answer_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A complete answer."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+async def get(
+    pool: httpcore.AsyncConnectionPool, url: str, limits: CallLimits
+) -> HttpAnswer:
+    """Sends a GET request and reads the answer; one that does not end is given up.
+
+    Raises:
+        SourceError: there is no answer within the limits.
+    """
+    timeout = {
+        "connect": limits.connect_s,
+        "read": limits.read_s,
+        "write": limits.read_s,
+        "pool": limits.pool_s,
+    }
+    try:
+        with trio.fail_after(limits.total_s):
+            async with pool.stream(
+                "GET", url, extensions={"timeout": timeout}
+            ) as response:
+                body = await _read_body(response, limits.answer_bytes)
+                return HttpAnswer(response.status, tuple(response.headers), body)
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+        trio.TooSlowError,
+    ) as error:
+        raise SourceError(ErrorKind.SOURCE_UNREACHABLE, repr(error)) from error
+
+
+async def _read_body(response: httpcore.Response, limit_bytes: int) -> bytes:
+    body = bytearray()
+    async for part in t.cast(t.AsyncIterable[bytes], response.aiter_stream()):
+        body += part
+        if len(body) > limit_bytes:
+            raise SourceError(
+                ErrorKind.SOURCE_UNREACHABLE,
+                f"the answer is longer than {limit_bytes} bytes",
+            )
+    return bytes(body)
--- a/packages/cactushook-node/src/cactushook_node/platform.py
+++ b/packages/cactushook-node/src/cactushook_node/platform.py
@@ -19,10 +19,14 @@
 from cactushook import Slot
 from cactushook import SourceError
 
+from . import bounded_http
+from .bounded_http import CallLimits
 from .metrics import Metrics
 from .settings import PlatformSettings
 
 CALL_TIMEOUT_S = 2.0
+# Within this time an answer that has begun must end.
+ANSWER_TIMEOUT_S = 10.0
 MAX_ANSWER_BYTES = 1_048_576
 
 T = t.TypeVar("T")
@@ -91,31 +95,29 @@
         raw = await self._get(path, CALL_TIMEOUT_S)
         return _decode(raw, tuple[HostRecord, ...], path)
 
-    async def _get(self, path: str, timeout_s: float) -> bytes:
+    async def _get(self, path: str, read_s: float) -> bytes:
+        limits = CallLimits(
+            connect_s=CALL_TIMEOUT_S,
+            pool_s=read_s,
+            read_s=read_s,
+            total_s=read_s + ANSWER_TIMEOUT_S,
+            answer_bytes=MAX_ANSWER_BYTES,
+        )
         url = f"http://{self._settings.address}{path}"
-        timeout = {"connect": CALL_TIMEOUT_S, "read": timeout_s, "pool": timeout_s}
         try:
-            response = await self._pool.request(
-                "GET", url, extensions={"timeout": timeout}
-            )
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-        ) as error:
+            answer = await bounded_http.get(self._pool, url, limits)
+        except SourceError as error:
             self._metrics.source_calls.labels("failed").inc()
             self._set_reachable(False)
-            raise SourceError(
-                ErrorKind.SOURCE_UNREACHABLE, f"{path}: {error!r}"
-            ) from error
+            raise SourceError(error.kind, f"{path}: {error.message}") from error
         self._set_reachable(True)
-        if response.status != 200 or len(response.content) > MAX_ANSWER_BYTES:
+        if answer.status != 200:
             self._metrics.source_calls.labels("refused").inc()
             raise SourceError(
-                ErrorKind.SOURCE_UNREACHABLE, f"{path}: status {response.status}"
+                ErrorKind.SOURCE_UNREACHABLE, f"{path}: status {answer.status}"
             )
         self._metrics.source_calls.labels("answered").inc()
-        return response.content
+        return answer.body
 
     def _set_reachable(self, reachable: bool) -> None:
         if self._reachable.value is not reachable:
