Keep a request that may have crashed its worker until a later one is answered

Cause: the gate keeps requests that were lost with their connection until it has asked whether the worker is reachable. Any answer cleared them, also one that the worker had sent before it crashed and that the gate handles between the crash and its detection. Then the crash is recorded for no request, and the one that caused it goes on.

Evidence: the new scenario in worker_check.feature failed on the code before for an answer to a request that was sent before the loss, and passed for one that was sent after it.

Change: an answer clears only what was lost before the answered request was sent, since it shows that the worker ran then, not that it runs now.

Why it works: a request that was sent after the loss and was answered proves that the worker survived the loss; nothing else does.

--- a/features/steps/worker_check.py
+++ b/features/steps/worker_check.py
@@ -16,13 +16,19 @@
 from cactushook import Snapshot
 from cactushook import TeamFile
 from cactushook.calls import Listing
+from cactushook.exceptions import ErrorKind
+from cactushook.gatekeeping import Answered
+from cactushook.gatekeeping import Failed
 from cactushook_node.gate import Gate
 from cactushook_node.headers import load_header_names
 from cactushook_node.http_messages import WorkerRequest
 from cactushook_node.settings import AdapterSettings
 from cactushook_node.settings import HeaderSettings
+from cold_patterns import cold_gatekeeper
 
 from features import edge_fixtures
+from features.gate_driver import request
+from features.gate_driver import START_MS
 
 SERVICE = "reports"
 LIMITS = Limits(
@@ -207,3 +213,44 @@
 def crashes_reported(context, count):
     found = [report.fingerprint for report in context.reports]
     assert found == [f"crash {number}" for number in range(1, count + 1)], found
+
+
+@given("a gate in virtual time with a request that crashes its backend server")
+def gate_in_virtual_time(context):
+    context.keeper = cold_gatekeeper(4, 1_000)
+    context.keeper.on_listing(Listing("i-1", "s", 4, HostState.LIVE), START_MS)
+    context.crashing = request(START_MS, fingerprint="crashing")
+    context.other = request(START_MS, fingerprint="other")
+
+
+@when("an answer to a request that was sent {moment} the loss arrives after it")
+def answer_arrives(context, moment):
+    keeper = context.keeper
+
+    def offer(call, now_ms):
+        keeper.offer(call, (), now_ms, 0.0)
+
+    def lose():
+        lost = Failed(ErrorKind.WORKER_LOST)
+        keeper.on_request_ended(context.crashing, lost, START_MS + 20)
+
+    offer(context.crashing, START_MS)
+    if moment == "before":
+        offer(context.other, START_MS + 10)
+        lose()
+    else:
+        lose()
+        offer(context.other, START_MS + 21)
+    keeper.on_request_ended(context.other, Answered(5.0), START_MS + 30)
+
+
+@when("the backend server is found down")
+def found_down(context):
+    context.reports = context.keeper.on_worker_down(START_MS + 40)
+
+
+@then("the crashing request is {verdict}")
+def crashing_request_is(context, verdict):
+    found = [report.fingerprint for report in context.reports]
+    expected = ["crashing"] if verdict == "reported" else []
+    assert found == expected, found
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -409,7 +409,7 @@
         return None
 
     def _record_answer(self, call: Call, outcome: Answered, now_ms: float) -> None:
-        self._lost_requests.clear()
+        self._clear_suspects(call)
         self.crashes.record_answer(call.fingerprint, now_ms)
         if outcome.instance and outcome.instance != self._instance:
             if self._instance:
@@ -425,6 +425,17 @@
         ):
             self._restart_ramp(now_ms)
 
+    def _clear_suspects(self, answered: Call) -> None:
+        """Clears requests that the backend server has survived.
+
+        An answer shows that it ran when the answered request was sent, not that it
+        runs now.
+        """
+        sent_ms = t.cast(Admission, self.admission).started_ms(answered.request_id)
+        lost = self._lost_requests
+        while lost and lost[0][0] < sent_ms:
+            lost.popleft()
+
     def _restart_ramp(self, now_ms: float) -> None:
         t.cast(Admission, self.admission).ramp.restart(now_ms)
         self._slowdown_detector.reset()
