Wait for a watch's answer that is arriving before the watch is given up

What callers would see: a change of a long configuration on a thin link in force late, and twice on the link.

Cause: silence was judged by whether the change was known, not by whether bytes arrive.

Evidence: found while reading the diff.

Change: the source counts the bytes that it receives; a watch is silent if it receives none for 0.2 s although the store has more.

Why it works: a silent connection receives nothing, and a slow one does.

Measured: the ten scenarios on silent, slow and endless answers in store.feature passed.

--- a/packages/cactushook-node/src/cactushook_node/adapters.py
+++ b/packages/cactushook-node/src/cactushook_node/adapters.py
@@ -18,6 +18,10 @@
 class Source(t.Protocol):
     """Reads the platform's store."""
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of answers that have arrived so far."""
+
     async def read(self) -> Reading:
         """Reads all values.
 
--- a/packages/cactushook-node/src/cactushook_node/bounded_http.py
+++ b/packages/cactushook-node/src/cactushook_node/bounded_http.py
@@ -37,11 +37,24 @@
     body: bytes
 
 
+def _ignore(size_bytes: int) -> None:
+    pass
+
+
 async def get(
-    pool: httpcore.AsyncConnectionPool, url: str, limits: CallLimits
+    pool: httpcore.AsyncConnectionPool,
+    url: str,
+    limits: CallLimits,
+    on_received: t.Callable[[int], None] = _ignore,
 ) -> HttpAnswer:
     """Sends a GET request and reads the answer; one that does not end is given up.
 
+    Args:
+        pool: opens and keeps the connections.
+        url: the target.
+        limits: limits of the call.
+        on_received: called with the length of each part of the body.
+
     Raises:
         SourceError: there is no answer within the limits.
     """
@@ -56,7 +69,7 @@
             async with pool.stream(
                 "GET", url, extensions={"timeout": timeout}
             ) as response:
-                body = await _read_body(response, limits.answer_bytes)
+                body = await _read_body(response, limits.answer_bytes, on_received)
                 return HttpAnswer(response.status, tuple(response.headers), body)
     except (
         httpcore.NetworkError,
@@ -67,10 +80,15 @@
         raise SourceError(ErrorKind.SOURCE_UNREACHABLE, repr(error)) from error
 
 
-async def _read_body(response: httpcore.Response, limit_bytes: int) -> bytes:
+async def _read_body(
+    response: httpcore.Response,
+    limit_bytes: int,
+    on_received: t.Callable[[int], None],
+) -> bytes:
     body = bytearray()
     async for part in t.cast(t.AsyncIterable[bytes], response.aiter_stream()):
         body += part
+        on_received(len(part))
         if len(body) > limit_bytes:
             raise SourceError(
                 ErrorKind.SOURCE_UNREACHABLE,
--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -25,8 +25,8 @@
 # while the store's counter rises without changes.
 POSITION_CHECK_MS = 1_000.0
 MAX_POSITION_CHECK_MS = 8_000.0
-# How long a watch may take to deliver a change that a probe has shown.
-DELIVERY_MS = 100.0
+# A watch that receives nothing for this time after a probe showed a change is silent.
+DELIVERY_MS = 200.0
 # A reading that occupies the host's link for more than this time is long.
 LONG_READING_MS = 200.0
 BYTES_PER_MS_OF_MBPS = 125.0
@@ -185,14 +185,22 @@
             self._confirmed_ms = sent_ms
 
     async def _check_delivery(self, position: Position) -> None:
-        """Reads all values if the open watch does not deliver what the store has."""
+        """Reads all values if the open watch does not deliver what the store has.
+
+        A long answer may still be arriving; it is waited for.
+        """
         scope = self._read_scope
-        await trio.sleep(DELIVERY_MS / 1_000)
-        is_same_watch = self._is_watching and self._read_scope is scope
-        if is_same_watch and position > self._position():
-            self._environment.log.warning("watch_silent", revision=position.revision)
-            self._is_watch_suspected = True
-            self._read_again()
+        is_arriving = True
+        while is_arriving:
+            received_bytes = self._source.received_bytes
+            await trio.sleep(DELIVERY_MS / 1_000)
+            is_same_watch = self._is_watching and self._read_scope is scope
+            if not is_same_watch or position <= self._position():
+                return
+            is_arriving = self._source.received_bytes > received_bytes
+        self._environment.log.warning("watch_silent", revision=position.revision)
+        self._is_watch_suspected = True
+        self._read_again()
 
     def _record_confirmation(self, changed: bool) -> None:
         """Records a reading, and whether a watch was suspected for good reason."""
