Count the bytes of an arriving answer as a sign that the store responds

Cause: only probes renewed the time of the store's last answer.

Change: bytes that arrive renew it too.

--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -198,6 +198,8 @@
             if not is_same_watch or position <= self._position():
                 return
             is_arriving = self._source.received_bytes > received_bytes
+            if is_arriving:
+                self._record_answer()
         self._environment.log.warning("watch_silent", revision=position.revision)
         self._is_watch_suspected = True
         self._read_again()
