End a reader's watch on the configuration service each second

Cause: a watch waits for `watch_wait_ms`, 20 s by default, and 2 s more. A connection that has gone silent shows only when an answer is due, and no other call of a reader tells of a version, so a firewall that forgets idle connections stops all readers at once.

Change: a reader's watch is a series of calls of 1 s; it ends early on a version, or if the platform does not wait. Other nodes watch as before, as 12,000 of them may not call more often; they learn of versions from their peers.

Why it works: a silent connection is given up after 3 s and the next call opens a new one, within the 4 s in which a version must be in force. 72 readers make 72 calls a second of the 2,000 that all may make.

--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -13,3 +13,15 @@
       | endless body |
       | endless head |
       | slow body    |
+
+  # Guards against a version that readers do not hear of for as long as a watch may wait,
+  # since the connection of the watch has gone silent. Versions are in force within 4 s.
+  Scenario: the connection of a reader's watch goes silent
+    Given a platform whose connections are silent
+    When a reader waits for a version
+    Then the call fails within 4 s as "source_unreachable"
+
+  Scenario: a reader waits on while nothing is published
+    Given a platform that publishes version 2 after 2500 ms
+    When a reader waits for a version
+    Then it receives version 2 after 3 calls
--- a/features/steps/platform_client.py
+++ b/features/steps/platform_client.py
@@ -1,9 +1,13 @@
 """Steps on the client of the platform's configuration service."""
 
+import re
+
+import msgspec
 import trio
 from behave import given
 from behave import then
 from behave import when
+from cactushook import Head
 from cactushook import Slot
 from cactushook import SourceError
 from cactushook_node.metrics import Metrics
@@ -29,6 +33,30 @@
     context.taken_bytes = 0
 
 
+async def call_platform(context, serve, call):
+    """Serves a platform, and records the result or the error of a call to it."""
+    address = edge_fixtures.free_addresses(1)[0]
+    ip, _, port = address.rpartition(":")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(
+            lambda task_status: trio.serve_tcp(
+                serve, int(port), host=ip, task_status=task_status
+            )
+        )
+        client = HttpPlatform(
+            PlatformSettings(address=address), Metrics(), Slot("reachable", None)
+        )
+        started_s = trio.current_time()
+        context.failure = context.result = None
+        with trio.move_on_after(edge_fixtures.WAIT_LIMIT_S):
+            try:
+                context.result = await call(client)
+            except SourceError as error:
+                context.failure = error
+        context.took_s = trio.current_time() - started_s
+        nursery.cancel_scope.cancel()
+
+
 @when("a node reads a value from it")
 def reads_value(context):
     async def serve(stream):
@@ -44,31 +72,58 @@
             return
         await trio.sleep_forever()
 
+    trio.run(call_platform, context, serve, lambda client: client.read_value("digest"))
+
+
+@given("a platform whose connections are silent")
+def silent_platform(context):
+    context.published_s = float("inf")
+    context.is_silent = True
+
+
+@given("a platform that publishes version {version:d} after {delay_ms:d} ms")
+def publishing_platform(context, version, delay_ms):
+    context.version = version
+    context.published_s = delay_ms / 1_000
+    context.is_silent = False
+
+
+@when("a reader waits for a version")
+def reader_waits(context):
+    context.calls = 0
+
+    async def serve(stream):
+        published_s = started_s + context.published_s
+        while data := await stream.receive_some(edge_fixtures.PART_BYTES):
+            context.calls += 1
+            if context.is_silent:
+                await trio.sleep_forever()
+            wait_ms = int(re.search(rb"wait_ms=([0-9]+)", data)[1])
+            with trio.move_on_after(wait_ms / 1_000):
+                await trio.sleep_until(published_s)
+            is_published = trio.current_time() >= published_s
+            head = Head(version=context.version if is_published else 1, root="")
+            body = msgspec.json.encode(head)
+            start = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            await stream.send_all(start.encode() + body)
+
     async def main():
-        address = edge_fixtures.free_addresses(1)[0]
-        ip, _, port = address.rpartition(":")
-        async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: trio.serve_tcp(
-                    serve, int(port), host=ip, task_status=task_status
-                )
-            )
-            client = HttpPlatform(
-                PlatformSettings(address=address), Metrics(), Slot("reachable", None)
-            )
-            started_s = trio.current_time()
-            context.failure = None
-            with trio.move_on_after(edge_fixtures.WAIT_LIMIT_S):
-                try:
-                    await client.read_value("digest")
-                except SourceError as error:
-                    context.failure = error
-            context.took_s = trio.current_time() - started_s
-            nursery.cancel_scope.cancel()
+        nonlocal started_s
+        started_s = trio.current_time()
+        await call_platform(
+            context, serve, lambda client: client.watch_head(1, is_reader=True)
+        )
 
+    started_s = 0.0
     trio.run(main)
 
 
+@then("it receives version {version:d} after {count:d} calls")
+def receives_version(context, version, count):
+    assert context.result is not None, context.failure
+    assert (context.result.version, context.calls) == (version, count)
+
+
 @then('the call fails within {limit_s:d} s as "{kind}"')
 def call_fails(context, limit_s, kind):
     assert context.failure is not None, "the call did not end"
--- a/packages/cactushook-node/src/cactushook_node/distribution.py
+++ b/packages/cactushook-node/src/cactushook_node/distribution.py
@@ -145,8 +145,8 @@
         distributor = self._distributor
         try:
             match action:
-                case messages.WatchHead(after_version):
-                    head = await self._platform.watch_head(after_version)
+                case messages.WatchHead(after_version, is_reader):
+                    head = await self._platform.watch_head(after_version, is_reader)
                     actions = distributor.on_head(head, self._environment.now_ms())
                 case messages.ReadValues(head, digests):
                     values = await self._read_values(digests)
--- a/packages/cactushook-node/src/cactushook_node/platform.py
+++ b/packages/cactushook-node/src/cactushook_node/platform.py
@@ -13,6 +13,7 @@
 
 import httpcore
 import msgspec
+import trio
 from cactushook import ErrorKind
 from cactushook import Head
 from cactushook import HostRecord
@@ -25,6 +26,8 @@
 from .settings import PlatformSettings
 
 CALL_TIMEOUT_S = 2.0
+# Longest wait in one call of a node that others depend on.
+READER_WATCH_MS = 1_000
 # Within this time an answer that has begun must end.
 ANSWER_TIMEOUT_S = 10.0
 MAX_ANSWER_BYTES = 1_048_576
@@ -39,7 +42,7 @@
     cannot be used.
     """
 
-    async def watch_head(self, after_version: int) -> Head:
+    async def watch_head(self, after_version: int, is_reader: bool) -> Head:
         """Waits for a head above a version."""
 
     async def read_value(self, digest: str) -> bytes:
@@ -72,9 +75,23 @@
         self._reachable = reachable
         self._pool = httpcore.AsyncConnectionPool(max_connections=4)
 
-    async def watch_head(self, after_version: int) -> Head:
-        """Waits for a head above a version."""
-        wait_ms = self._settings.watch_wait_ms
+    async def watch_head(self, after_version: int, is_reader: bool) -> Head:
+        """Waits for a head above a version.
+
+        A reader's calls are short: a connection that has gone silent shows only when an
+        answer is due.
+        """
+        left_ms = self._settings.watch_wait_ms
+        while True:
+            wait_ms = min(READER_WATCH_MS, left_ms) if is_reader else left_ms
+            left_ms -= wait_ms
+            ends_s = trio.current_time() + wait_ms / 1_000
+            head = await self._watch_once(after_version, wait_ms)
+            answered_early = trio.current_time() < ends_s
+            if head.version > after_version or answered_early or not left_ms:
+                return head
+
+    async def _watch_once(self, after_version: int, wait_ms: int) -> Head:
         path = f"/v1/head?after={after_version}&wait_ms={wait_ms}"
         raw = await self._get(path, CALL_TIMEOUT_S + wait_ms / 1_000)
         return _decode(raw, Head, path)
--- a/packages/cactushook/src/cactushook/messages.py
+++ b/packages/cactushook/src/cactushook/messages.py
@@ -138,9 +138,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchHead:
-    """Wait for a head above a version at the platform; report it to `on_head`."""
+    """Wait for a head above a version at the platform; report it to `on_head`.
+
+    Attributes:
+        after_version: the version.
+        is_reader: whether the node may call at a reader's rate.
+    """
 
     after_version: int
+    is_reader: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/cactushook/src/cactushook/source_poller.py
+++ b/packages/cactushook/src/cactushook/source_poller.py
@@ -202,7 +202,7 @@
             return []
         self._head_in_flight = True
         if head is None:
-            return [WatchHead(self._store.seen_version)]
+            return [WatchHead(self._store.seen_version, is_reader)]
         return [ReadValues(head, tuple(missing[:granted]))]
 
     def _hosts_call(self, now_ms: float, is_reader: bool) -> list[Action]:
