Serve a test's connections, and copy an example's configuration, in one place

`edge_fixtures.serve` and `fleet.copy_configuration` do it now. No check changes; a text that does not occur still fails, as a ValueError.

--- a/features/edge_fixtures.py
+++ b/features/edge_fixtures.py
@@ -103,6 +103,20 @@
         nursery.cancel_scope.cancel()
 
 
+async def serve(
+    nursery: trio.Nursery,
+    address: str,
+    handler: t.Callable[[trio.SocketStream], t.Awaitable[None]],
+) -> None:
+    """Serves TCP connections at an address until the nursery is cancelled."""
+    ip, _, port = address.rpartition(":")
+    await nursery.start(
+        lambda task_status: trio.serve_tcp(
+            handler, int(port), host=ip, task_status=task_status
+        )
+    )
+
+
 async def connect(address: str) -> trio.SocketStream:
     """Opens a TCP connection to an address."""
     ip, _, port = address.rpartition(":")
--- a/features/steps/cut_answers.py
+++ b/features/steps/cut_answers.py
@@ -165,13 +165,8 @@
 
     async def main():
         address = edge_fixtures.free_addresses(1)[0]
-        ip, _, port = address.rpartition(":")
         async with trio.open_nursery() as nursery:
-            await nursery.start(
-                lambda task_status: trio.serve_tcp(
-                    worker.serve, int(port), host=ip, task_status=task_status
-                )
-            )
+            await edge_fixtures.serve(nursery, address, worker.serve)
             node = OneNode(address, nursery)
             nursery.start_soon(node.environment.run_timers)
             await nursery.start(node.edge.serve)
--- a/features/steps/edge_worker.py
+++ b/features/steps/edge_worker.py
@@ -78,15 +78,7 @@
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             if context.worker is not None:
-                ip, _, port = address.rpartition(":")
-                await nursery.start(
-                    lambda task_status: trio.serve_tcp(
-                        context.worker.serve,
-                        int(port),
-                        host=ip,
-                        task_status=task_status,
-                    )
-                )
+                await edge_fixtures.serve(nursery, address, context.worker.serve)
             settings = WorkerSettings(address=address)
             names = load_header_names(HeaderSettings(), settings.instance_header)
             await body(WorkerClient(settings, names, CONNECTIONS))
--- a/features/steps/endless_answers.py
+++ b/features/steps/endless_answers.py
@@ -13,9 +13,12 @@
 from behave import then
 from behave import when
 
+from standins.fleet import copy_configuration
 from standins.fleet import HostSpec
 from standins.fleet import LocalFleet
 
+EXAMPLE = pathlib.Path("examples/kalnins")
+TEAM_FILE = "reports/reports.cactushook.jsonc"
 ENTRY, GATE = "entry", "gate"
 FILLER = 65_536 * b"a"
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -80,13 +83,7 @@
     name = tempfile.mkdtemp(prefix="cactushook-endless-")
     context.resources.callback(shutil.rmtree, name, ignore_errors=True)
     config = pathlib.Path(name) / "config"
-    shutil.copytree("examples/kalnins", config)
-    team_file = config / "reports/reports.cactushook.jsonc"
-    text = team_file.read_text(encoding="utf-8")
-    for old, new in CONFIG_CHANGES.items():
-        assert old in text
-        text = text.replace(old, new)
-    team_file.write_text(text, encoding="utf-8")
+    copy_configuration(EXAMPLE, config, TEAM_FILE, CONFIG_CHANGES)
     specs = [
         HostSpec(ENTRY, "cesis", "vidzeme", "archive"),
         HostSpec(GATE, "valmiera", "vidzeme", "reports"),
--- a/features/steps/faults_processes.py
+++ b/features/steps/faults_processes.py
@@ -13,10 +13,13 @@
 from behave import then
 from behave import when
 
+from standins.fleet import copy_configuration
 from standins.fleet import HostSpec
 from standins.fleet import LocalFleet
 from standins.fleet import new_idempotency_key
 
+EXAMPLE = pathlib.Path("examples/kalnins")
+TEAM_FILE = "reports/reports.cactushook.jsonc"
 ENTRY = "entry"
 GATES = ("gate-a", "gate-b")
 DOMAIN_OF = {"gate-a": "valmiera", "gate-b": "sigulda", ENTRY: "cesis"}
@@ -41,13 +44,7 @@
     context.resources.callback(shutil.rmtree, name, ignore_errors=True)
     work = pathlib.Path(name)
     context.config_directory = work / "config"
-    shutil.copytree("examples/kalnins", context.config_directory)
-    team_file = context.config_directory / "reports/reports.cactushook.jsonc"
-    text = team_file.read_text(encoding="utf-8")
-    for old, new in CONFIG_CHANGES.items():
-        assert old in text
-        text = text.replace(old, new)
-    team_file.write_text(text, encoding="utf-8")
+    copy_configuration(EXAMPLE, context.config_directory, TEAM_FILE, CONFIG_CHANGES)
     host_specs = [
         HostSpec(ENTRY, DOMAIN_OF[ENTRY], "vidzeme", "archive"),
         *(HostSpec(gate, DOMAIN_OF[gate], "vidzeme", "reports") for gate in GATES),
--- a/features/steps/platform_client.py
+++ b/features/steps/platform_client.py
@@ -36,13 +36,8 @@
 async def call_platform(context, serve, call):
     """Serves a platform, and records the result or the error of a call to it."""
     address = edge_fixtures.free_addresses(1)[0]
-    ip, _, port = address.rpartition(":")
     async with trio.open_nursery() as nursery:
-        await nursery.start(
-            lambda task_status: trio.serve_tcp(
-                serve, int(port), host=ip, task_status=task_status
-            )
-        )
+        await edge_fixtures.serve(nursery, address, serve)
         client = HttpPlatform(
             PlatformSettings(address=address), Metrics(), Slot("reachable", None)
         )
--- a/features/steps/unexpected_errors.py
+++ b/features/steps/unexpected_errors.py
@@ -73,12 +73,7 @@
                 await stream.send_all(head + http.send(h11.EndOfMessage()))
                 http.start_next_cycle()
 
-    ip, _, port = address.rpartition(":")
-    await nursery.start(
-        lambda task_status: trio.serve_tcp(
-            serve, int(port), host=ip, task_status=task_status
-        )
-    )
+    await edge_fixtures.serve(nursery, address, serve)
 
 
 @given("a node whose backend server reports {value} as its cold time")
--- a/features/steps/worker_protocol.py
+++ b/features/steps/worker_protocol.py
@@ -181,13 +181,7 @@
 
     async def main():
         async with trio.open_nursery() as nursery:
-            ip, _, port = address.rpartition(":")
-            serve = context.backend.serve
-            await nursery.start(
-                lambda task_status: trio.serve_tcp(
-                    serve, int(port), host=ip, task_status=task_status
-                )
-            )
+            await edge_fixtures.serve(nursery, address, context.backend.serve)
             settings = WorkerSettings(address=address)
             names = load_header_names(NAMES, "Instance")
             await use(WorkerClient(settings, names, max_connections))
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import shutil
 import socket
 import subprocess
 import sys
@@ -87,6 +88,23 @@
     return str(uuid.UUID(int=(high << 64) | (0b10 << 62) | low))
 
 
+def copy_configuration(
+    source: pathlib.Path,
+    target: pathlib.Path,
+    team_file: str,
+    changes: t.Mapping[str, str],
+) -> None:
+    """Copies a configuration and replaces texts of one team file, which must occur."""
+    shutil.copytree(source, target)
+    path = target / team_file
+    text = path.read_text(encoding="utf-8")
+    for old, new in changes.items():
+        if old not in text:
+            raise ValueError(f"{team_file} does not contain {old!r}")
+        text = text.replace(old, new)
+    path.write_text(text, encoding="utf-8")
+
+
 class LocalFleet:
     """Runs the platform, backend servers and nodes as real processes.
 
