--- a/features/platform_client.feature
+++ b/features/platform_client.feature
@@ -21,6 +21,7 @@
     When a reader waits for a version
     Then the call fails within 4 s as "source_unreachable"
 
+  # Guards against short calls that are taken for the end of the watch.
   Scenario: a reader waits on while nothing is published
     Given a platform that publishes version 2 after 2500 ms
     When a reader waits for a version
