--- a/review/8/case.py
+++ b/review/8/case.py
@@ -72,7 +72,7 @@
         while not end.is_set():
             count += 1
             path = f"/catalogue/{n}/{count}"
-            asyncio.create_task(requester.send("GET", path, 2000, log=False))
+            asyncio.create_task(requester.send("GET", path, 2000))
             await asyncio.sleep(0.2)
 
     async def poison_traffic():
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -351,6 +351,8 @@
         finally:
             self.waiting -= 1
         self.running += 1
+        request_id = headers.get(REQUEST_ID.lower(), "")
+        self.record.line(f"worker {self.ip} runs {request_id} {method} {target}")
         try:
             request = (method, target, headers, body)
             if not self.drops_on_close:
