--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -27,6 +27,7 @@
 REQUEST_ID = "X-Cactushook-Request-Id"
 # The template names this port; it is the same on all machines.
 METRICS_PORT = 9464
+HEARTBEAT_S = 1.5
 
 # Bounds of cpw-mesh (SYSTEM.md); a script may change single ones.
 BOUNDS = {
@@ -279,7 +280,7 @@
     async def _beat(self):
         while True:
             self.register()
-            await asyncio.sleep(1.5)
+            await asyncio.sleep(HEARTBEAT_S)
 
     def crash(self):
         """Ends at once: all connections are reset and the port has no listener."""
@@ -288,6 +289,10 @@
         self.is_up = False
         self.record.line(f"worker {self.ip} ({self.id}) crashes")
         self._beat_task.cancel()
+        # The store removes an entry after three heartbeat intervals of silence.
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self._lapse, self.id, self.born
+        )
         self._server.close()
         for writer in list(self._writers):
             reset(writer)
@@ -296,6 +301,10 @@
             if task is not asyncio.current_task():
                 task.cancel()
 
+    def _lapse(self, instance, born):
+        if not (self.is_up and self.id == instance and self.born != born):
+            self.store.remove(f"servers/{instance}")
+
     def stop(self):
         """Ends the worker at the end of a case."""
         if self.is_up:
