Log and count crash suspects that an answer clears

The logs could not tell whether the gates did not find the crashes, or found them and did not hold the request to have caused them.

Gates now count suspects that were not held to crash a worker because they were answered, before the crash or after it (cactushook_crash_suspects_cleared, crash_suspects_cleared).

--- a/packages/cactushook-node/src/cactushook_node/gate_reports.py
+++ b/packages/cactushook-node/src/cactushook_node/gate_reports.py
@@ -21,6 +21,8 @@
         self._reset_limit: int | None = None
         self._blocked_routes: tuple[str, ...] = ()
         self._limit_reports = LimitReports()
+        self._trusted_count = 0
+        self._cleared_count = 0
 
     def update(self, load: Load, now_ms: float) -> None:
         """Reports the present load and what has changed."""
@@ -30,6 +32,7 @@
         self._report_reset_limit()
         self._report_blocked_routes()
         self._report_useful_slots(now_ms)
+        self._report_cleared_suspects()
 
     def _report_reset_limit(self) -> None:
         limit = self._keeper.reset_limit
@@ -64,5 +67,23 @@
                 useful_slots=useful_slots,
             )
 
+    def _report_cleared_suspects(self) -> None:
+        crashes = self._keeper.crashes
+        trusted_count = crashes.trusted_count - self._trusted_count
+        cleared_count = crashes.cleared_count - self._cleared_count
+        if not trusted_count and not cleared_count:
+            return
+        self._trusted_count = crashes.trusted_count
+        self._cleared_count = crashes.cleared_count
+        counter = self._environment.metrics.crash_suspects_cleared
+        counter.labels("answered_before").inc(trusted_count)
+        counter.labels("answered_after").inc(cleared_count)
+        self._environment.log.info(
+            "crash_suspects_cleared",
+            answered_before=trusted_count,
+            answered_after=cleared_count,
+            instance=self._keeper.instance,
+        )
+
 
 __all__ = ["GateReports"]
--- a/packages/cactushook/src/cactushook/crashes.py
+++ b/packages/cactushook/src/cactushook/crashes.py
@@ -32,15 +32,22 @@
     All requests that ran during a crash are suspects, except those that a worker
     answered shortly before: a request that crashes its worker gets no answer, whereas
     a harmless popular request is answered all the time.
+
+    Attributes:
+        trusted_count: suspects that were not counted, since they were answered before.
+        cleared_count: suspects whose crashes were forgotten, since they were answered.
     """
 
     def __init__(self) -> None:
+        self.trusted_count = 0
+        self.cleared_count = 0
         self._crashed_ms: dict[str, list[float]] = {}
         self._answered_ms: dict[str, float] = {}
 
     def record_crash(self, report: CrashReport, now_ms: float) -> None:
         """Counts one crash against a suspect that is not trusted."""
         if self.is_trusted(report.fingerprint, now_ms):
+            self.trusted_count += 1
             return
         is_known = report.fingerprint in self._crashed_ms
         if not is_known and len(self._crashed_ms) >= MAX_FINGERPRINTS:
@@ -64,11 +71,9 @@
         Returns:
             The reports for other gates of the service.
         """
-        suspects = dict.fromkeys(
-            item.fingerprint
-            for item in running
-            if not self.is_trusted(item.fingerprint, now_ms)
-        )
+        fingerprints = dict.fromkeys(item.fingerprint for item in running)
+        suspects = [f for f in fingerprints if not self.is_trusted(f, now_ms)]
+        self.trusted_count += len(fingerprints) - len(suspects)
         reports = tuple(CrashReport(service, suspect, host) for suspect in suspects)
         for item in reports:
             self.record_crash(item, now_ms)
@@ -76,7 +81,8 @@
 
     def record_answer(self, fingerprint: str, now_ms: float) -> None:
         """Records that a worker answered a request and clears its suspicion."""
-        self._crashed_ms.pop(fingerprint, None)
+        if self._crashed_ms.pop(fingerprint, None) is not None:
+            self.cleared_count += 1
         self._answered_ms.pop(fingerprint, None)
         self._answered_ms[fingerprint] = now_ms
         if len(self._answered_ms) > MAX_FINGERPRINTS:
