Count crashes and answers by caller, not only by method, path and body

Each crash also ended what else ran.

Cause: the identity under which a crash and an answer are filed leaves out the caller, so answers to one caller vouched for the other's request.

Change: crashes and answers count for a fingerprint together with a variant, the digest of the caller's service, its workspace and the host asked for. It travels with requests between nodes and in reports of crashes.

--- /dev/null
+++ b/packages/cactushook-node/src/cactushook_node/crash_messages.py
@@ -0,0 +1,25 @@
+"""Converts reports of crashes to messages between nodes, and back."""
+
+from cactushook import CrashReport
+
+from . import wire
+
+
+def crash_to_message(report: CrashReport) -> wire.Message:
+    """Converts a report to a message."""
+    return wire.CrashMessage(
+        service_name=report.service,
+        fingerprint=report.fingerprint,
+        host=report.host,
+        variant=report.variant,
+    )
+
+
+def crash_from_message(message: wire.Message) -> CrashReport:
+    """Converts a message to a report."""
+    return CrashReport(
+        service=message.service_name,
+        fingerprint=message.fingerprint,
+        host=message.host,
+        variant=message.variant,
+    )
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -232,6 +232,7 @@
             fingerprint=digest(
                 request.method.encode() + b" " + request.target + b"\n" + request.body
             ),
+            variant=self._variant(request, workspace),
             objective_ms=arrived_ms + (route.objective_ms or route.timeout_ms),
             priority=workspace.priority_on(route.priority),
             workspace=workspace.name,
@@ -240,6 +241,10 @@
             route=route.path,
         )
 
+    def _variant(self, request: EntryRequest, workspace: Workspace) -> str:
+        service = self._environment.settings.service
+        return digest("\n".join((service, workspace.name, request.host)).encode())
+
     def _limit_or_shed(self, call: Call, trace: Trace) -> Call:
         """Fits a call into a planned stop; refuses one that does not fit or is shed."""
         environment = self._environment
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -15,6 +15,8 @@
 from .admin import Admin
 from .call_messages import call_from_message
 from .caller_sockets import CallerSockets
+from .crash_messages import crash_from_message
+from .crash_messages import crash_to_message
 from .distribution import Distribution
 from .edge import Edge
 from .entry import Entry
@@ -175,9 +177,7 @@
         """Handles a control message."""
         match message:
             case wire.CrashMessage():
-                self.gate.record_crash(
-                    CrashReport(message.service_name, message.fingerprint, message.host)
-                )
+                self.gate.record_crash(crash_from_message(message))
             case wire.SilenceMessage():
                 self._peer_watch.on_report(message)
             case (
@@ -218,12 +218,14 @@
 
     def _on_crash(self, report: CrashReport) -> None:
         self.environment.log.warning(
-            "request_crashed_worker", fingerprint=report.fingerprint
+            "request_crashed_worker",
+            fingerprint=report.fingerprint,
+            variant=report.variant,
         )
         self._tasks.start_soon(self._send_crash_report, report)
 
     async def _send_crash_report(self, report: CrashReport) -> None:
-        message = wire.CrashMessage(report.service, report.fingerprint, report.host)
+        message = crash_to_message(report)
         for host in list(self.environment.membership.hosts):
             if host.service == report.service and host.name != report.host:
                 await self.distribution.send_to(host.address, message)
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -66,6 +66,8 @@
   24: bool may_wait = true,
   // Path of the route that covers the request; empty if it is not known.
   25: string route = "",
+  // Digest of the caller and the host.
+  26: string variant = "",
 }
 
 // Start of a worker's answer; `last` is set if `body` is the whole body.
@@ -159,6 +161,7 @@
   1: string service_name,
   2: string fingerprint,
   3: string host,
+  4: string variant = "",
 }
 
 // Requests that an earlier host of the service adds the sender to its ranking.
--- a/packages/cactushook-node/src/cactushook_node/wire_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/wire_messages.py
@@ -140,6 +140,7 @@
         23: (TType.I32, "answer_bytes", False),
         24: (TType.BOOL, "may_wait", False),
         25: (TType.STRING, "route", False),
+        26: (TType.STRING, "variant", False),
     }
 
     def __init__(
@@ -169,6 +170,7 @@
         answer_bytes=0,
         may_wait=True,
         route="",
+        variant="",
     ):
         self.stream_id = stream_id
         self.request_id = request_id
@@ -195,6 +197,7 @@
         self.answer_bytes = answer_bytes
         self.may_wait = may_wait
         self.route = route
+        self.variant = variant
 
 
 class ReplyMessage(TPayload):
@@ -450,6 +453,7 @@
         1: (TType.STRING, "service_name", False),
         2: (TType.STRING, "fingerprint", False),
         3: (TType.STRING, "host", False),
+        4: (TType.STRING, "variant", False),
     }
 
     def __init__(
@@ -457,10 +461,12 @@
         service_name=None,
         fingerprint=None,
         host=None,
+        variant="",
     ):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.host = host
+        self.variant = variant
 
 
 class JoinMessage(TPayload):
--- a/packages/cactushook/src/cactushook/calls.py
+++ b/packages/cactushook/src/cactushook/calls.py
@@ -25,6 +25,8 @@
         key_issued_ms: when the key was issued, epoch milliseconds, 0 if unknown.
         resend_window_ms: how long a keyed answer is kept.
         fingerprint: digest of method, path and body.
+        variant: digest of the caller and the host; a worker may treat requests with
+            one fingerprint differently by these.
         fences: hosts that have not run the key and promise not to.
         objective_ms: time after which an answer is of less use, on this node's clock.
         priority: rank in a queue, 0 first.
@@ -49,6 +51,7 @@
     key_issued_ms: float = 0
     resend_window_ms: float = 600_000
     fingerprint: str = ""
+    variant: str = ""
     fences: tuple[str, ...] = ()
     objective_ms: float = math.inf
     priority: int = 0
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -418,7 +418,7 @@
         paused = self._pause.refusal(now_ms)
         if paused is not None:
             return paused
-        if self.crashes.is_refused(call.fingerprint, now_ms):
+        if self.crashes.is_refused(call, now_ms):
             detail = "this request crashed backend servers before"
             return Refusal(ErrorKind.CRASH_SUSPECT, detail)
         is_retryable = call.route_class is RouteClass.IDEMPOTENT
@@ -432,7 +432,7 @@
         started_ms = admission.started_ms(call.request_id)
         level = admission.level(call.request_id)
         self._losses.record_answer(level, started_ms, now_ms)
-        self.crashes.record_answer(call.fingerprint, now_ms)
+        self.crashes.record_answer(call, now_ms)
         if outcome.instance and outcome.instance != self._instance:
             if self._instance:
                 self._forget_worker(now_ms)
