--- a/features/crash_table.feature
+++ b/features/crash_table.feature
@@ -31,14 +31,14 @@
     Given a table of crashes
     When the request of caller "a" crashes 1 workers
     And the request of caller "a" is answered
-    And 20 s pass
+    And 20 s go by for the table
     And the request of caller "a" crashes 1 workers
     Then the request of caller "a" is allowed
 
   Scenario: crashes are forgotten after a while
     Given a table of crashes
     When the request of caller "a" crashes 2 workers
-    And 301 s pass
+    And 301 s go by for the table
     Then the request of caller "a" is allowed
 
   # Guards against a table that grows with the callers, or the requests, of a flood.
--- a/features/steps/crash_table.py
+++ b/features/steps/crash_table.py
@@ -75,7 +75,7 @@
     context.crashes.running_beside = (make_call(caller),)
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s go by for the table")
 def time_passes(context, seconds):
     context.crashes.now_ms += seconds * 1_000
 
