End an answer that has started with its request's timeout

Cause: the entry lifted the deadline of an attempt as soon as its answer started.

Change: a started answer keeps its deadline, and may end up to 300 ms after it, so that one that is nearly there is still delivered. Then the entry resets the caller's connection and tells the gate to cancel. This holds for all classes of routes.

--- a/features/steps/cut_answers.py
+++ b/features/steps/cut_answers.py
@@ -85,7 +85,13 @@
     """Edge, entry and gate of a node that has a configuration with one service."""
 
     def __init__(
-        self, worker_address, nursery, links=None, service=SERVICE, more_routes=None
+        self,
+        worker_address,
+        nursery,
+        links=None,
+        service=SERVICE,
+        more_routes=None,
+        route=None,
     ):
         settings = edge_fixtures.environment().settings
         self.environment = Environment(
@@ -102,11 +108,12 @@
         entry = Entry(env, links, gate, Quotas(env, links, nursery))
         self.edge = Edge(env, entry)
         env.board.readiness.write(Readiness(True, "ready"))
-        snapshot = self._make_snapshot({"/": SERVICE, **(more_routes or {})})
+        route = {"route_class": RouteClass.NON_IDEMPOTENT, **(route or {})}
+        snapshot = self._make_snapshot({"/": SERVICE, **(more_routes or {})}, route)
         env.store.apply_snapshot(snapshot)
         env.board.snapshot.write(snapshot)
 
-    def _make_snapshot(self, paths):
+    def _make_snapshot(self, paths, route):
         limits = Limits(slots=1, connections=5, ramp_ms=1)
         services = {
             name: TeamFile(service=name, team="", failure_domains=(), limits=limits)
@@ -117,8 +124,8 @@
                 Route(
                     path=path,
                     methods=("GET", "HEAD"),
-                    route_class=RouteClass.NON_IDEMPOTENT,
                     service=name,
+                    **route,
                 ),
                 services,
                 "",
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -319,7 +319,7 @@
                 else:
                     await self._send_to_remote_gate(step, request, forwarder)
             if attempt_scope.cancelled_caught:
-                return Refusal(ErrorKind.PEER_LOST, "no answer in time")
+                return await forwarder.end_late()
             return forwarder.refusal
         except RequestError as error:
             return Refusal(error.kind, error.message)
--- a/packages/cactushook-node/src/cactushook_node/reply_forwarder.py
+++ b/packages/cactushook-node/src/cactushook_node/reply_forwarder.py
@@ -1,6 +1,5 @@
 """Forwards the answer of one attempt to the caller."""
 
-import math
 import typing as t
 
 import trio
@@ -18,6 +17,8 @@
 from .http_messages import ReplyStart
 from .trace import Trace
 
+# How long after its request's deadline the rest of a started answer is forwarded.
+LATE_ANSWER_MS = 300
 _SERVER_ERROR = 500
 RecordLoad: t.TypeAlias = t.Callable[[str, str, Load, float], None]
 
@@ -30,6 +31,8 @@
     in which the worker reports a failure is held back if the request is idempotent and
     a retry ratio is set, because another worker may still be tried.
 
+    An answer that has started may end a little after the request's deadline.
+
     Args:
         record_load: receives the service, the host and the load of the gate.
         step: the attempt.
@@ -57,6 +60,7 @@
         self._emit = emit
         self._trace = trace
         self._started = False
+        self._ended = False
 
     async def emit(self, event: ReplyEvent) -> None:
         """Forwards, stores or holds back one event of the answer."""
@@ -78,7 +82,9 @@
             detail = f"the worker answered {event.status}"
             self.refusal = Refusal(ErrorKind.WORKER_FAILED, detail)
             return
-        self._started = True
+        if not self._started:
+            self._started = True
+            self.attempt_scope.deadline = self._last_moment_s()
         match event:
             case ReplyRefused(kind, detail):
                 self._trace.record_attempt(self._host, Refusal(kind, detail))
@@ -87,8 +93,26 @@
                 self.sent_bytes += len(event.body)
             case ReplyChunk(data):
                 self.sent_bytes += len(data)
-        self.attempt_scope.deadline = math.inf
         await self._emit(event)
+        self._ended = isinstance(event, ReplyRefused) or event.last
+
+    async def end_late(self) -> Refusal | None:
+        """Ends the attempt, whose time is over; truncates an answer that has started.
+
+        Returns:
+            The refusal if the answer has not started.
+        """
+        if not self._started:
+            return Refusal(ErrorKind.PEER_LOST, "no answer in time")
+        if not self._ended:
+            detail = "the answer did not end in time"
+            await self.emit(ReplyRefused(ErrorKind.DEADLINE_EXCEEDED, detail))
+        return None
+
+    def _last_moment_s(self) -> float:
+        """Returns when an answer that has started must end, on trio's clock."""
+        remaining_ms = self._call.deadline_ms - self._environment.now_ms()
+        return trio.current_time() + (remaining_ms + LATE_ANSWER_MS) / 1_000
 
     def _should_hold(self, event: ReplyStart) -> bool:
         if event.status < _SERVER_ERROR or not event.last:
--- a/packages/cactushook/src/cactushook/nodes.py
+++ b/packages/cactushook/src/cactushook/nodes.py
@@ -86,7 +86,7 @@
         route_class: how requests may be treated.
         service: the service that runs it; the file's own by default.
         visibility: who may call it.
-        timeout_ms: timeout of a request that does not set one.
+        timeout_ms: longest time of a request, its answer included.
         attempts: maximum number of times that a request is sent to a worker.
         key_header: header that contains the key of an at-most-once request.
         resend_window_ms: how long a caller may resend with the same key.
