Let gates ask their peers which requests crash workers

Cause: a gate's knowledge of crashes came only from reports sent at the moment of a crash, to the hosts listed and reachable then. A gate that missed one never had it.

Change: a gate asks up to eight peers when its worker is listed or starts, and after a pause; it refuses new work until one that is not asking itself has answered, for 300 ms at most, and waits for nobody if no peer can be asked. While it refuses requests it tells each peer to which a connection starts, and a random one every 5 s. Crashes have an identity and an age: a report counts once however often it comes, and does not undo a later answer. A report no longer waits for unreachable peers one by one.

--- a/features/crash_table.feature
+++ b/features/crash_table.feature
@@ -52,3 +52,56 @@
       | count | part    | limit |
       | 3000  | path    | 1000  |
       | 3000  | caller  | 16    |
+
+  # Guards against a gate that starts, or was out of reach, and lets a request crash two
+  # workers more that all other gates refuse.
+  Scenario: a gate without reports is told by another one
+    Given a table of crashes
+    And an empty table of another gate
+    When the request of caller "a" crashes 2 workers
+    And 30 s go by for the table
+    And the other gate is told what the table knows
+    Then the other gate refuses the request of caller "a"
+    When 271 s go by for the table
+    Then the other gate allows the request of caller "a"
+
+  # Guards against one crash that counts as two, since its report comes twice.
+  Scenario: a gate is told of the same crash again
+    Given a table of crashes
+    And an empty table of another gate
+    When the request of caller "a" crashes 1 workers
+    And the other gate is told what the table knows
+    And 5 s go by for the table
+    And the other gate is told what the table knows
+    Then the other gate allows the request of caller "a"
+    When the request of caller "a" crashes 1 workers
+    And the other gate is told what the table knows
+    Then the other gate refuses the request of caller "a"
+
+  # Guards against old reports that undo what an answer has shown since.
+  Scenario: a gate that has an answer is told of crashes before it
+    Given a table of crashes
+    And an empty table of another gate
+    When the request of caller "a" crashes 2 workers
+    And 20 s go by for the table
+    And the other gate has an answer to the request of caller "a"
+    And 60 s go by for the table
+    And the other gate is told what the table knows
+    Then the other gate allows the request of caller "a"
+
+  # Guards against a node that serves before it knows what its peers refuse, and against
+  # one that waits for peers which cannot tell it.
+  Scenario Outline: a gate that asks <peers> peers, of which <what>
+    Given a gate that asks <peers> peers which requests crash workers
+    When <what>
+    Then after <length_ms> ms it <verdict>
+
+    Examples:
+      | peers | what                                     | length_ms | verdict          |
+      | 3     | nothing happens                          | 299       | refuses requests |
+      | 3     | nothing happens                          | 300       | takes requests   |
+      | 3     | peer 1 answers                           | 10        | takes requests   |
+      | 3     | peer 1 answers, still asking itself      | 10        | refuses requests |
+      | 3     | all peers answer, still asking           | 10        | takes requests   |
+      | 3     | all peers are out of reach               | 10        | takes requests   |
+      | 0     | nothing happens                          | 0         | takes requests   |
--- a/features/steps/crash_table.py
+++ b/features/steps/crash_table.py
@@ -8,6 +8,7 @@
 from cactushook import Call
 from cactushook import CrashTable
 from cactushook import RouteClass
+from cactushook.crash_inquiry import CrashInquiry
 
 START_MS = 1_000_000.0
 SERVICE = "reports"
@@ -21,11 +22,19 @@
     table: CrashTable = dataclasses.field(default_factory=CrashTable)
     now_ms: float = START_MS
     running_beside: tuple[Call, ...] = ()
+    crash_count: int = 0
 
     def crash(self, call):
-        """Counts a crash against a request and those that run beside it."""
-        self.table.report(SERVICE, "host", (call, *self.running_beside), self.now_ms)
+        """Counts a crash against a request and those that run beside it.
+
+        Returns:
+            The reports for other gates.
+        """
+        running = (call, *self.running_beside)
+        self.crash_count += 1
+        host = f"host-{self.crash_count}"
         self.running_beside = ()
+        return self.table.report(SERVICE, host, running, self.now_ms)
 
 
 def make_call(caller, path=PATH):
@@ -120,3 +129,66 @@
     crashes = context.crashes
     crashes.crash(context.calls[-1])
     assert crashes.table.is_refused(context.calls[-1], crashes.now_ms)
+
+
+@given("an empty table of another gate")
+def other_table(context):
+    context.other = CrashTable()
+
+
+@when("the other gate is told what the table knows")
+def other_told(context):
+    crashes = context.crashes
+    for report in crashes.table.known_reports(crashes.now_ms):
+        context.other.record_crash(report, crashes.now_ms)
+
+
+@when('the other gate has an answer to the request of caller "{caller}"')
+def other_answered(context, caller):
+    context.other.record_answer(make_call(caller), context.crashes.now_ms)
+
+
+@then('the other gate {verdict} the request of caller "{caller}"')
+def other_verdict(context, verdict, caller):
+    refused = context.other.is_refused(make_call(caller), context.crashes.now_ms)
+    assert refused is (verdict == "refuses")
+
+
+@given("a gate that asks {count:d} peers which requests crash workers")
+def gate_asks(context, count):
+    context.inquiry = CrashInquiry()
+    context.peers = [f"peer {number}" for number in range(1, count + 1)]
+    context.inquiry.start(context.peers, START_MS)
+
+
+@when("nothing happens")
+def nothing_happens(context):
+    pass
+
+
+@when("peer 1 answers")
+def peer_answers(context):
+    context.inquiry.on_answer("peer 1", complete=True)
+
+
+@when("peer 1 answers, still asking itself")
+def asking_peer_answers(context):
+    context.inquiry.on_answer("peer 1", complete=False)
+
+
+@when("all peers answer, still asking")
+def all_answer(context):
+    for peer in context.peers:
+        context.inquiry.on_answer(peer, complete=False)
+
+
+@when("all peers are out of reach")
+def all_unreachable(context):
+    for peer in context.peers:
+        context.inquiry.on_unreachable(peer)
+
+
+@then("after {length_ms:d} ms it {verdict} requests")
+def inquiry_verdict(context, length_ms, verdict):
+    refusal = context.inquiry.refusal(START_MS + length_ms)
+    assert (refusal is not None) is (verdict == "refuses"), refusal
--- a/packages/cactushook-node/src/cactushook_node/crash_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/crash_messages.py
@@ -12,6 +12,8 @@
         fingerprint=report.fingerprint,
         host=report.host,
         variant=report.variant,
+        crash_id=report.crash_id,
+        age_ms=round(report.age_ms),
     )
 
 
@@ -22,4 +24,6 @@
         fingerprint=message.fingerprint,
         host=message.host,
         variant=message.variant,
+        crash_id=message.crash_id,
+        age_ms=max(0, message.age_ms),
     )
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -8,6 +8,7 @@
 from cactushook import Admitted
 from cactushook import Call
 from cactushook import CrashReport
+from cactushook import CrashTable
 from cactushook import ErrorKind
 from cactushook import Load
 from cactushook import Pause
@@ -17,6 +18,7 @@
 from cactushook import RouteClass
 from cactushook import Snapshot
 from cactushook.calls import Listing
+from cactushook.crash_inquiry import CrashInquiry
 from cactushook.gatekeeping import Answered
 from cactushook.gatekeeping import Failed
 from cactushook.gatekeeping import Gatekeeper
@@ -158,9 +160,20 @@
         """Registers a listener for requests that are sent to the backend server."""
         self._run_listeners.append(listener)
 
-    def record_crash(self, report: CrashReport) -> None:
-        """Records a crash report from another gate of the service."""
-        self._keeper.crashes.record_crash(report, self._environment.now_ms())
+    @property
+    def crashes(self) -> CrashTable:
+        """Requests that may have crashed backend servers of the service."""
+        return self._keeper.crashes
+
+    @property
+    def crash_inquiry(self) -> CrashInquiry:
+        """Questions to the other gates of the service about crashes."""
+        return self._keeper.crash_inquiry
+
+    @property
+    def service(self) -> str:
+        """The service that the backend server runs."""
+        return self._keeper.service
 
     def on_peer_update(self) -> None:
         """Records that another node has sent its view."""
--- a/packages/cactushook-node/src/cactushook_node/metrics.py
+++ b/packages/cactushook-node/src/cactushook_node/metrics.py
@@ -76,6 +76,11 @@
         self.quota_homes = self._gauge(
             "cactushook_quota_homes", "Workspaces whose home this node is."
         )
+        self.crashes_learned = self._counter(
+            "cactushook_crashes_learned",
+            "Crashes of other hosts' workers that were counted, by origin.",
+            "origin",
+        )
         self.crash_suspects_cleared = self._counter(
             "cactushook_crash_suspects_cleared",
             "Requests not held to crash workers, since they were answered.",
--- a/packages/cactushook-node/src/cactushook_node/node.py
+++ b/packages/cactushook-node/src/cactushook_node/node.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import trio
-from cactushook import CrashReport
 from cactushook import HostState
 from cactushook import Snapshot
 from cactushook.pacing import Reservation
@@ -15,8 +14,7 @@
 from .admin import Admin
 from .call_messages import call_from_message
 from .caller_sockets import CallerSockets
-from .crash_messages import crash_from_message
-from .crash_messages import crash_to_message
+from .crash_reports import CrashReports
 from .distribution import Distribution
 from .edge import Edge
 from .entry import Entry
@@ -85,7 +83,9 @@
                 environment, self.gate, self.distribution, self._tasks
             )
         self._started_ms = environment.now_ms()
-        self.gate.add_crash_listener(self._on_crash)
+        self._crash_reports = CrashReports(
+            environment, self.gate, self.links, self.distribution, self._tasks
+        )
 
     def _make_distribution(self) -> Distribution:
         environment = self.environment
@@ -128,6 +128,7 @@
 
     async def on_hello(self, link: Link, hello: wire.Message) -> None:
         """Handles the first message of a connection."""
+        self._crash_reports.on_hello(link, hello)
         await self.distribution.on_hello(link, hello)
 
     async def on_call(self, link: Link, message: wire.Message) -> None:
@@ -176,8 +177,10 @@
     async def on_control_message(self, link: Link, message: wire.Message) -> None:
         """Handles a control message."""
         match message:
-            case wire.CrashMessage():
-                self.gate.record_crash(crash_from_message(message))
+            case (
+                wire.CrashMessage() | wire.CrashPullMessage() | wire.CrashListMessage()
+            ):
+                self._crash_reports.on_message(link, message)
             case wire.SilenceMessage():
                 self._peer_watch.on_report(message)
             case (
@@ -216,20 +219,6 @@
             return Readiness(True, "ready")
         return Readiness(False, "joining the homes of keys")
 
-    def _on_crash(self, report: CrashReport) -> None:
-        self.environment.log.warning(
-            "request_crashed_worker",
-            fingerprint=report.fingerprint,
-            variant=report.variant,
-        )
-        self._tasks.start_soon(self._send_crash_report, report)
-
-    async def _send_crash_report(self, report: CrashReport) -> None:
-        message = crash_to_message(report)
-        for host in list(self.environment.membership.hosts):
-            if host.service == report.service and host.name != report.host:
-                await self.distribution.send_to(host.address, message)
-
     async def _stop(self) -> None:
         environment = self.environment
         environment.log.info("draining")
--- a/packages/cactushook-node/src/cactushook_node/wire.py
+++ b/packages/cactushook-node/src/cactushook_node/wire.py
@@ -33,6 +33,8 @@
 ChangeMessage = _messages.ChangeMessage
 HostsMessage = _messages.HostsMessage
 CrashMessage = _messages.CrashMessage
+CrashPullMessage = _messages.CrashPullMessage
+CrashListMessage = _messages.CrashListMessage
 BusyMessage = _messages.BusyMessage
 DomainDigest = _messages.DomainDigest
 HostDigestsMessage = _messages.HostDigestsMessage
@@ -63,6 +65,8 @@
     ChangeMessage,
     HostsMessage,
     CrashMessage,
+    CrashPullMessage,
+    CrashListMessage,
     BusyMessage,
     PingMessage,
     RetireMessage,
--- a/packages/cactushook-node/src/cactushook_node/wire.thrift
+++ b/packages/cactushook-node/src/cactushook_node/wire.thrift
@@ -162,6 +162,21 @@
   2: string fingerprint,
   3: string host,
   4: string variant = "",
+  // Identifies the crash; empty if the sender does not tell it.
+  5: string crash_id = "",
+  6: i32 age_ms = 0,
+}
+
+// Asks a gate of a service for the crashes that it knows.
+struct CrashPullMessage {
+  1: string service_name,
+}
+
+// Crashes that the sender knows.
+struct CrashListMessage {
+  1: list<CrashMessage> crashes = [],
+  // Whether the sender is not waiting for crashes of others itself.
+  2: bool complete = true,
 }
 
 // Requests that an earlier host of the service adds the sender to its ranking.
@@ -319,4 +334,6 @@
   25: QuotaRequestMessage quota_request,
   26: QuotaGrantMessage quota_grant,
   27: QuotaHandoverMessage quota_handover,
+  28: CrashPullMessage crash_pull,
+  29: CrashListMessage crash_list,
 }
--- a/packages/cactushook-node/src/cactushook_node/wire_messages.py
+++ b/packages/cactushook-node/src/cactushook_node/wire_messages.py
@@ -454,6 +454,8 @@
         2: (TType.STRING, "fingerprint", False),
         3: (TType.STRING, "host", False),
         4: (TType.STRING, "variant", False),
+        5: (TType.STRING, "crash_id", False),
+        6: (TType.I32, "age_ms", False),
     }
 
     def __init__(
@@ -462,11 +464,46 @@
         fingerprint=None,
         host=None,
         variant="",
+        crash_id="",
+        age_ms=0,
     ):
         self.service_name = service_name
         self.fingerprint = fingerprint
         self.host = host
         self.variant = variant
+        self.crash_id = crash_id
+        self.age_ms = age_ms
+
+
+class CrashPullMessage(TPayload):
+    """Struct ``CrashPullMessage``."""
+
+    thrift_spec = {
+        1: (TType.STRING, "service_name", False),
+    }
+
+    def __init__(
+        self,
+        service_name=None,
+    ):
+        self.service_name = service_name
+
+
+class CrashListMessage(TPayload):
+    """Struct ``CrashListMessage``."""
+
+    thrift_spec = {
+        1: (TType.LIST, "crashes", (TType.STRUCT, CrashMessage), False),
+        2: (TType.BOOL, "complete", False),
+    }
+
+    def __init__(
+        self,
+        crashes=None,
+        complete=True,
+    ):
+        self.crashes = [] if crashes is None else crashes
+        self.complete = complete
 
 
 class JoinMessage(TPayload):
@@ -840,6 +877,8 @@
         25: (TType.STRUCT, "quota_request", QuotaRequestMessage, False),
         26: (TType.STRUCT, "quota_grant", QuotaGrantMessage, False),
         27: (TType.STRUCT, "quota_handover", QuotaHandoverMessage, False),
+        28: (TType.STRUCT, "crash_pull", CrashPullMessage, False),
+        29: (TType.STRUCT, "crash_list", CrashListMessage, False),
     }
 
     def __init__(
@@ -871,6 +910,8 @@
         quota_request=None,
         quota_grant=None,
         quota_handover=None,
+        crash_pull=None,
+        crash_list=None,
     ):
         self.hello = hello
         self.call = call
@@ -899,3 +940,5 @@
         self.quota_request = quota_request
         self.quota_grant = quota_grant
         self.quota_handover = quota_handover
+        self.crash_pull = crash_pull
+        self.crash_list = crash_list
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -15,6 +15,7 @@
 from .calls import Listing
 from .calls import Load
 from .calls import Refusal
+from .crash_inquiry import CrashInquiry
 from .crashes import CrashReport
 from .crashes import CrashTable
 from .exceptions import ErrorKind
@@ -83,6 +84,7 @@
         self._domain_out = False
         self._keyed = KeyedRequests(own)
         self.crashes = CrashTable()
+        self.crash_inquiry = CrashInquiry()
         self.admission: Admission | None = None
         self._slowdown_detector = SlowdownDetector()
         self.breaker = CircuitBreaker()
@@ -256,9 +258,9 @@
         """
         if self.admission is None or call.service != self.service:
             return [Refused(call, self._service_refusal(call))]
-        listing_refusal = self._listing.refusal()
-        if listing_refusal is not None:
-            return [Refused(call, listing_refusal)]
+        unknown = self._listing.refusal() or self.crash_inquiry.refusal(now_ms)
+        if unknown is not None:
+            return [Refused(call, unknown)]
         if call.route_class is RouteClass.AT_MOST_ONCE:
             return self._offer_keyed(call, hosts, now_ms, epoch_ms)
         refusal = self._refusal(call, now_ms)
