--- a/features/steps/processor_exhausted.py
+++ b/features/steps/processor_exhausted.py
@@ -14,6 +14,7 @@
 from cactushook import TeamFile
 from cactushook.lag import LagMeter
 from cactushook.snapshot import bind_route
+from cactushook.workspaces import NO_WORKSPACE
 from cactushook_node.edge import Edge
 from cactushook_node.entry import Entry
 from cactushook_node.entry_request import EntryRequest
@@ -149,7 +150,7 @@
     headers = ((env.headers.timeout_ms, str(timeout_ms).encode()),)
     request = EntryRequest("GET", b"/a", headers, b"", internal=False)
     now_ms = env.now_ms()
-    call = context.entry._build_call(request, BOUND, "r")
+    call = context.entry.calls.build(request, BOUND, "r", NO_WORKSPACE)
     assert abs(call.deadline_ms - now_ms - left_ms) < TOLERANCE_MS, call.deadline_ms
 
 
--- a/features/steps/quota_node.py
+++ b/features/steps/quota_node.py
@@ -18,10 +18,12 @@
 from cactushook import RouteClass
 from cactushook import Snapshot
 from cactushook import TeamFile
+from cactushook.answer_sizes import AnswerSizes
 from cactushook.quota_bounds import QuotaBounds
 from cactushook.snapshot import BoundRoute
 from cactushook.workspaces import Workspace
 from cactushook_node.admin import Admin
+from cactushook_node.call_builder import CallBuilder
 from cactushook_node.entry import Entry
 from cactushook_node.entry import EntryRequest
 from cactushook_node.environment import Readiness
@@ -41,13 +43,13 @@
 REQUEST = EntryRequest("GET", b"/a", (), b"", internal=False)
 
 
-class WorkspaceEntry(Entry):
-    """An entry whose callers all belong to one workspace."""
+class WorkspaceCalls(CallBuilder):
+    """Builds calls of callers who all belong to one workspace."""
 
     workspace = ""
 
-    def _build_call(self, *arguments):
-        call = super()._build_call(*arguments)
+    def build(self, *arguments):
+        call = super().build(*arguments)
         return dataclasses.replace(call, workspace=self.workspace)
 
 
@@ -65,7 +67,8 @@
         self.links = LinkPool(env, self, tasks)
         self.quotas = Quotas(env, self.links, tasks)
         gate = Gate(env, tasks)
-        self.entry = WorkspaceEntry(env, self.links, gate, self.quotas)
+        self.entry = Entry(env, self.links, gate, self.quotas)
+        self.entry.calls = WorkspaceCalls(env, AnswerSizes())
         self.admin = Admin(env, self.entry.router, self.quotas)
         env.board.readiness.write(Readiness(True, "ready"))
         self.snapshot = make_snapshot(workspaces)
@@ -85,7 +88,7 @@
         await self.quotas.on_message(link, message)
 
     async def request(self, workspace="acme", nested=False):
-        self.entry.workspace = workspace
+        self.entry.calls.workspace = workspace
         request = dataclasses.replace(REQUEST, nested=nested)
         refused = []
 
--- a/packages/cactushook-node/src/cactushook_node/entry.py
+++ b/packages/cactushook-node/src/cactushook_node/entry.py
@@ -12,16 +12,13 @@
 from cactushook import Router
 from cactushook import Visibility
 from cactushook.answer_sizes import AnswerSizes
-from cactushook.digests import digest
 from cactushook.dispatch import RoutingView
 from cactushook.dispatch import SendTo
 from cactushook.fanout import Fanout
 from cactushook.snapshot import BoundRoute
-from cactushook.splits import Splits
-from cactushook.workspaces import NO_WORKSPACE
-from cactushook.workspaces import Workspace
 
 from .authentication import identify
+from .call_builder import CallBuilder
 from .call_messages import call_to_message
 from .crossings import record_crossing
 from .dispatching import create_dispatch
@@ -30,7 +27,6 @@
 from .environment import Environment
 from .forwarding import build_worker_request
 from .gate import Gate
-from .headers import parse_issued_ms
 from .http_messages import check_start
 from .http_messages import Emit
 from .http_messages import ReplyRefused
@@ -59,6 +55,10 @@
         links: connections to other nodes.
         gate: this host's gate.
         quotas: this node's part in the quotas of workspaces.
+
+    Attributes:
+        router: chooses among gates.
+        calls: builds the calls that are sent to gates.
     """
 
     def __init__(
@@ -77,10 +77,10 @@
         )
         self._quotas = quotas
         self._budgets = RetryBudgets(environment)
-        self._splits = Splits(environment.rng)
         self._fanout = Fanout()
         self._shedding = EntryShedding(environment)
         self._answer_sizes = AnswerSizes()
+        self.calls = CallBuilder(environment, self._answer_sizes)
         gate.add_run_listener(self._on_run_started)
         self._serving_count = 0
 
@@ -104,7 +104,7 @@
             self._require_configuration()
             workspace = identify(request, environment)
             bound = self._match_route(request)
-            call = self._build_call(request, bound, request_id, workspace)
+            call = self.calls.build(request, bound, request_id, workspace)
             trace.record_route(bound, call)
             call = self._limit_or_shed(call, trace)
             if call.nested:
@@ -194,57 +194,6 @@
                 )
             )
 
-    def _build_call(
-        self,
-        request: EntryRequest,
-        bound: BoundRoute,
-        request_id: str,
-        workspace: Workspace = NO_WORKSPACE,
-    ) -> Call:
-        route = bound.route
-        environment = self._environment
-        names = environment.headers
-        # The request may have waited to be read since the loop's last turn.
-        arrived_ms = environment.now_ms() - environment.lag.last_ms
-        timeout_ms = request.parse_number(names.timeout_ms, route.timeout_ms)
-        hops = request.parse_number(names.hops, 0) + 1
-        if hops > environment.settings.limits.hops:
-            raise RequestError(ErrorKind.HOP_LIMIT, f"hop {hops} exceeds the hop limit")
-        key = ""
-        issued_ms = 0.0
-        if route.route_class is RouteClass.AT_MOST_ONCE:
-            key = request.header(route.key_header.lower().encode()).decode("latin-1")
-            issued_ms = parse_issued_ms(key, route.key_header)
-        attempts = min(
-            request.parse_number(names.attempts, route.attempts), route.attempts
-        )
-        return Call(
-            request_id=request_id,
-            service=self._splits.choose_service(bound),
-            route_class=route.route_class,
-            deadline_ms=arrived_ms + min(timeout_ms, route.timeout_ms),
-            version=environment.store.head.version,
-            attempts_left=max(1, attempts),
-            hops=hops,
-            key=key,
-            key_issued_ms=issued_ms,
-            resend_window_ms=route.resend_window_ms,
-            fingerprint=digest(
-                request.method.encode() + b" " + request.target + b"\n" + request.body
-            ),
-            variant=self._variant(request, workspace),
-            objective_ms=arrived_ms + (route.objective_ms or route.timeout_ms),
-            priority=workspace.priority_on(route.priority),
-            workspace=workspace.name,
-            nested=request.nested,
-            answer_bytes=self._answer_sizes.expected_bytes(route.path),
-            route=route.path,
-        )
-
-    def _variant(self, request: EntryRequest, workspace: Workspace) -> str:
-        service = self._environment.settings.service
-        return digest("\n".join((service, workspace.name, request.host)).encode())
-
     def _limit_or_shed(self, call: Call, trace: Trace) -> Call:
         """Fits a call into a planned stop; refuses one that does not fit or is shed."""
         environment = self._environment
