Answer copies of keyed requests while a gate asks for crashes

What callers saw: none did; found by reading the change. While a gate asked its peers which requests crash workers (300 ms at most, at a worker's start and after a pause), a copy of a keyed request that had run there was refused as not_ready, "not run".

Cause: put the refusal before the look-up of the key.

Evidence: "a copy of a keyed request comes while its gate asks" failed on the code before (Refused, not_ready) and passes now.

Change: the refusal stands beside the one after a pause, behind the look-up. Requests without a key are decided as before, but that a pause's refusal is named first.

--- a/features/crash_table.feature
+++ b/features/crash_table.feature
@@ -105,3 +105,10 @@
       | 3     | all peers answer, still asking           | 10        | takes requests   |
       | 3     | all peers are out of reach               | 10        | takes requests   |
       | 0     | nothing happens                          | 0         | takes requests   |
+
+  # Guards against a copy of a keyed request that is told "not run", though it has run.
+  Scenario: a copy of a keyed request comes while its gate asks
+    Given a gate at which a keyed request has run
+    When it asks a peer which requests crash workers
+    Then a copy of the keyed request gets its answer
+    And another keyed request is refused as "not_ready"
--- a/features/steps/crash_table.py
+++ b/features/steps/crash_table.py
@@ -5,13 +5,22 @@
 from behave import given
 from behave import then
 from behave import when
+from cactushook import Admitted
 from cactushook import Call
 from cactushook import CrashTable
+from cactushook import HostRecord
+from cactushook import HostState
 from cactushook import RouteClass
+from cactushook.calls import Listing
 from cactushook.crash_inquiry import CrashInquiry
+from cactushook.gatekeeping import Answered
+from cactushook.gatekeeping import Replayed
+from cactushook.key_table import StoredAnswer
+from cold_patterns import cold_gatekeeper
 
 START_MS = 1_000_000.0
 SERVICE = "reports"
+SLOTS = 4
 PATH = "/reports/7"
 
 
@@ -192,3 +201,48 @@
 def inquiry_verdict(context, length_ms, verdict):
     refusal = context.inquiry.refusal(START_MS + length_ms)
     assert (refusal is not None) is (verdict == "refuses"), refusal
+
+
+@given("a gate at which a keyed request has run")
+def keyed_request_ran(context):
+    keeper = context.keeper = cold_gatekeeper(SLOTS, 1_000)
+    keeper.on_listing(Listing("i-1", "s", SLOTS, HostState.LIVE), START_MS)
+    keeper.homes.on_host_list_read()
+    context.keyed = Call(
+        "q1",
+        "s",
+        RouteClass.AT_MOST_ONCE,
+        START_MS + 5_000,
+        1,
+        key="first",
+        key_issued_ms=START_MS,
+    )
+    assert isinstance(offer_keyed(context, context.keyed), Admitted)
+    answer = Answered(5.0, stored=StoredAnswer(200, (), b"first"))
+    keeper.on_request_ended(context.keyed, answer, START_MS + 5)
+
+
+def offer_keyed(context, call):
+    """Returns the gate's verdict on a keyed request."""
+    own = HostRecord(name="h", address="a", domain="d", region="r", service="s")
+    now_ms = START_MS + 10
+    return context.keeper.offer(call, (own,), now_ms, now_ms)[-1]
+
+
+@when("it asks a peer which requests crash workers")
+def keeper_asks(context):
+    context.keeper.crash_inquiry.start(["peer 1"], START_MS + 10)
+
+
+@then("a copy of the keyed request gets its answer")
+def copy_answered(context):
+    copy = dataclasses.replace(context.keyed, request_id="q2")
+    verdict = offer_keyed(context, copy)
+    assert isinstance(verdict, Replayed) and verdict.answer.body == b"first", verdict
+
+
+@then('another keyed request is refused as "{kind}"')
+def other_keyed_refused(context, kind):
+    other = dataclasses.replace(context.keyed, request_id="q3", key="second")
+    verdict = offer_keyed(context, other)
+    assert verdict.refusal.kind.value == kind, verdict
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -258,9 +258,9 @@
         """
         if self.admission is None or call.service != self.service:
             return [Refused(call, self._service_refusal(call))]
-        unknown = self._listing.refusal() or self.crash_inquiry.refusal(now_ms)
-        if unknown is not None:
-            return [Refused(call, unknown)]
+        listing_refusal = self._listing.refusal()
+        if listing_refusal is not None:
+            return [Refused(call, listing_refusal)]
         if call.route_class is RouteClass.AT_MOST_ONCE:
             return self._offer_keyed(call, hosts, now_ms, epoch_ms)
         refusal = self._refusal(call, now_ms)
@@ -417,9 +417,9 @@
         return Refusal(kind, detail)
 
     def _refusal(self, call: Call, now_ms: float) -> Refusal | None:
-        paused = self._pause.refusal(now_ms)
-        if paused is not None:
-            return paused
+        stale = self._pause.refusal(now_ms) or self.crash_inquiry.refusal(now_ms)
+        if stale is not None:
+            return stale
         if self.crashes.is_refused(call, now_ms):
             detail = "this request crashed backend servers before"
             return Refusal(ErrorKind.CRASH_SUSPECT, detail)
