--- a/review/standins-3/mesh.py
+++ b/review/standins-3/mesh.py
@@ -484,6 +484,7 @@
         self.services: dict[str, dict[str, t.Any]] = {}
         self.routes: list[dict[str, t.Any]] = []
         self.version = 6
+        self.drain_ms = 2_000
         self._base = f"127.{77 + os.getpid() % 100}.{1 + os.getpid() // 100 % 250}"
         self.node_port = 0
         self._beats: asyncio.Task[None] | None = None
@@ -621,7 +622,7 @@
         "platform.address": mesh.store.address,
         "limits.link_mbps": 1_000.0,
         "heartbeat_ms": 1_500,
-        "bounds.drain_ms": 2_000,
+        "bounds.drain_ms": mesh.drain_ms,
         "bounds.cold_overage": 1.5,
         "bounds.cold_slack": 5,
         "bounds.budget_ratio": 0.2,
