Count crashes against requests that were given up before

What callers saw: a request crashed each worker that ran it, and its caller had left before.

Cause: the suspects of a crash were the requests that ran by the gate's count, and those whose connection was lost shortly before. A request that the gate gives up (its caller leaves, its deadline passes, its answer is invalid) was neither, though the worker may go on. Also, a crash that disturbs no other request was not found at all.

Change: WorkerLosses keeps requests that were sent and given up as suspects until their deadline, unless an answer shows that the worker lived on after it. A gate also finds a crash by the listing of another start that was not announced, by a probe when a worker with suspects is not listed any more, and without a listing by an answer of another instance.

Tests: the two scenarios of crashing_requests (real nodes) failed before, with four sends of four not refused ("left" four times). Those of abandoned_requests need the new method on_request_sent, so they fail before by an AttributeError.

--- a/features/steps/cold_patterns.py
+++ b/features/steps/cold_patterns.py
@@ -19,9 +19,9 @@
 from features.gate_driver import START_MS
 
 
-def cold_gatekeeper(slots, per_s):
+def cold_gatekeeper(slots, per_s, needs_listing=True):
     own = HostRecord(name="h", address="a", domain="d", region="r", service="s")
-    keeper = Gatekeeper(own, needs_listing=True)
+    keeper = Gatekeeper(own, needs_listing=needs_listing)
     bounds = limits(slots, cold_requests_per_s=per_s)
     team_file = TeamFile(service="s", team="", failure_domains=(), limits=bounds)
     keeper.configure(Snapshot(Head(version=1, root=""), {"s": team_file}, {}, ()), 0.0)
--- a/packages/cactushook-node/src/cactushook_node/gate.py
+++ b/packages/cactushook-node/src/cactushook_node/gate.py
@@ -1,6 +1,7 @@
 """The gate: applies the gatekeeper's decisions to requests for this host's worker."""
 
 import dataclasses
+import functools
 import itertools
 import typing as t
 
@@ -111,7 +112,7 @@
         self._overload = OverloadReport(environment)
         self._answers = AnswerBuffer(self.load)
         self._health_check = WorkerHealthCheck(
-            environment, tasks, self._keeper, self._notify_crash
+            environment, tasks, self._keeper, self._notify_crashes
         )
         self._reports = GateReports(environment, self._keeper)
         self._epoch_offset_ms = environment.started_epoch_ms - environment.now_ms()
@@ -338,13 +339,13 @@
         self._deliver_verdicts(ended.verdicts)
         if isinstance(outcome, Failed) and outcome.kind in _CRASH_CHECK_KINDS:
             self._health_check.start(self._worker)
-        for report in ended.crashes:
-            self._notify_crash(report)
+        self._notify_crashes(ended.crashes)
         return ended.refusal
 
-    def _notify_crash(self, report: CrashReport) -> None:
-        for listener in self._crash_listeners:
-            listener(report)
+    def _notify_crashes(self, reports: t.Iterable[CrashReport]) -> None:
+        for report in reports:
+            for listener in self._crash_listeners:
+                listener(report)
 
     def _log_breaker(self, was_open: bool, call: Call) -> None:
         is_open = self._keeper.breaker.is_open
@@ -401,7 +402,8 @@
                 (names.target_instance, self._keeper.instance.encode()),
             )
         )
-        async with worker.send(worker_request) as reply:
+        on_connected = functools.partial(self._keeper.on_request_sent, call)
+        async with worker.send(worker_request, on_connected=on_connected) as reply:
             latency_ms = self._environment.now_ms() - started_ms
             instance = self._reported_instance(reply.headers)
             if isinstance(emit, AnswerRecorder):
@@ -423,6 +425,10 @@
 
     def _on_listing(self, listing: Listing | None) -> None:
         previous_instance = self._keeper.instance
+        if listing is not None:
+            self._notify_crashes(
+                self._keeper.find_crash(listing, self._environment.now_ms())
+            )
         self._deliver_verdicts(
             self._keeper.on_listing(listing, self._environment.now_ms())
         )
@@ -431,6 +437,9 @@
                 self._worker.close_idle_connections()
             self._ensure_worker_client()
             self._health_check.start(self._worker)
+        elif listing is None and self._keeper.has_abandoned:
+            # A worker that leaves serves for a while; one that crashed does not.
+            self._health_check.start(self._worker)
 
     def _ensure_worker_client(self) -> None:
         environment = self._environment
--- a/packages/cactushook-node/src/cactushook_node/worker_check.py
+++ b/packages/cactushook-node/src/cactushook_node/worker_check.py
@@ -29,7 +29,7 @@
         environment: the node's central object.
         tasks: runs the checks.
         keeper: receives the results.
-        on_crash: called when a request may have crashed the backend server.
+        on_crashes: called with the requests that may have crashed the backend server.
     """
 
     def __init__(
@@ -37,12 +37,12 @@
         environment: Environment,
         tasks: TaskStarter,
         keeper: Gatekeeper,
-        on_crash: t.Callable[[CrashReport], None],
+        on_crashes: t.Callable[[t.Iterable[CrashReport]], None],
     ) -> None:
         self._environment = environment
         self._tasks = tasks
         self._keeper = keeper
-        self._on_crash = on_crash
+        self._on_crashes = on_crashes
         self._is_requested = False
         self._is_checking = False
         self._health_scope = trio.CancelScope()
@@ -96,8 +96,7 @@
         environment = self._environment
         worker.close_idle_connections()
         environment.log.warning("worker_unreachable")
-        for report in self._keeper.on_worker_down(environment.now_ms()):
-            self._on_crash(report)
+        self._on_crashes(self._keeper.on_worker_down(environment.now_ms()))
 
     async def read_health(self, worker: WorkerClient) -> None:
         """Queries how long the backend server stays cold."""
--- a/packages/cactushook-node/src/cactushook_node/worker_client.py
+++ b/packages/cactushook-node/src/cactushook_node/worker_client.py
@@ -70,7 +70,10 @@
 
     @contextlib.asynccontextmanager
     async def send(
-        self, request: WorkerRequest, requires_request_id: bool = True
+        self,
+        request: WorkerRequest,
+        requires_request_id: bool = True,
+        on_connected: t.Callable[[], None] | None = None,
     ) -> t.AsyncIterator[WorkerReply]:
         """Sends a request and yields its reply.
 
@@ -80,6 +83,8 @@
         Args:
             request: the request.
             requires_request_id: whether the answer must carry the request's id.
+            on_connected: called when the request is about to be sent; it does not run
+                before.
 
         Raises:
             RequestError: ``WORKER_UNREACHABLE``, ``WORKER_REJECTED`` or
@@ -93,6 +98,8 @@
         else:
             connection = await self._open_connection()
         reusable = False
+        if on_connected is not None:
+            on_connected()
         try:
             yield await connection.exchange(encoded, self._names, requires_request_id)
             reusable = connection.is_finished
--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -38,6 +38,7 @@
 from .ramp import SlowdownDetector
 from .snapshot import Snapshot
 from .worker_listing import WorkerListing
+from .worker_losses import LISTING_LAG_MS
 from .worker_losses import WorkerLosses
 
 # A key with this many fences is not fenced again because of a cold start, since all
@@ -152,6 +153,7 @@
     def _on_other_start(self, listing: Listing, now_ms: float) -> None:
         self.breaker.reset()
         self._forget_worker(now_ms)
+        self._losses.forget_suspects()
         self._apply_reset_limit(now_ms)
         self.set_cold_remaining(listing.cold_remaining_ms, now_ms)
 
@@ -179,20 +181,30 @@
     def on_worker_down(self, now_ms: float) -> tuple[CrashReport, ...]:
         """Records that the backend server accepts no connections.
 
-        Requests that it lost shortly before and requests that still run may have
-        crashed it.
+        Requests that it lost shortly before, requests that still run and requests that
+        it may still run after they were abandoned may have crashed it.
         """
-        self._listing.is_down = True
-        suspects = self._losses.take_suspects(now_ms)
-        if self.admission is not None:
-            suspects += self.admission.running
-        return self._report_crashes(suspects, now_ms)
+        self._listing.mark_down()
+        return self._report_crash(now_ms)
+
+    def find_crash(self, listing: Listing, now_ms: float) -> tuple[CrashReport, ...]:
+        """Reports a crash that no request noticed, if a new listing shows one."""
+        if not self._listing.shows_crash(listing):
+            return ()
+        suspects = self._losses.take_suspects(now_ms, LISTING_LAG_MS)
+        return self._report_suspects(suspects, now_ms)
+
+    @property
+    def has_abandoned(self) -> bool:
+        """Whether requests that were abandoned may have crashed the backend server."""
+        return self._losses.has_abandoned
 
     def on_worker_up(self, now_ms: float) -> None:
         """Records that the backend server accepts connections again."""
         self._listing.is_down = False
         self.breaker.reset()
         self._forget_worker(now_ms)
+        self._losses.forget_suspects()
         self.assume_cold(now_ms)
 
     @property
@@ -306,6 +318,10 @@
         self._apply_reset_limit(now_ms)
         return self._keyed.give_up_refused(self.admission.expire(now_ms))
 
+    def on_request_sent(self, call: Call) -> None:
+        """Records that an admitted request is being sent to the backend server."""
+        self._losses.record_sent(call)
+
     def on_request_ended(self, call: Call, outcome: Outcome, now_ms: float) -> Ended:
         """Records how an admitted request ended and frees its slot."""
         admission = t.cast(Admission, self.admission)
@@ -313,10 +329,12 @@
             self._record_health(call, outcome, now_ms)
         failed = reported_failure(outcome)
         self.nested.on_run_ended(call.request_id, failed, now_ms)
+        failure = outcome.kind if isinstance(outcome, Failed) else None
+        self._losses.record_end(call, failure, now_ms)
         crashes: tuple[CrashReport, ...] = ()
         match outcome:
             case Answered():
-                self._record_answer(call, outcome, now_ms)
+                crashes = self._record_answer(call, outcome, now_ms)
             case Failed(ErrorKind.WORKER_LOST) if self._listing.is_required:
                 level = admission.level(call.request_id)
                 self._losses.record_loss(call, level, now_ms)
@@ -429,25 +447,43 @@
             return Refusal(ErrorKind.WORKER_FAILING, detail)
         return self.nested.refuse(call.route, now_ms)
 
-    def _record_answer(self, call: Call, outcome: Answered, now_ms: float) -> None:
+    def _record_answer(
+        self, call: Call, outcome: Answered, now_ms: float
+    ) -> tuple[CrashReport, ...]:
         admission = t.cast(Admission, self.admission)
+        crashes = self._record_instance(outcome.instance, now_ms)
         started_ms = admission.started_ms(call.request_id)
         level = admission.level(call.request_id)
         self._losses.record_answer(level, started_ms, now_ms)
         self.crashes.record_answer(call, now_ms)
-        if outcome.instance and outcome.instance != self._instance:
-            if self._instance:
-                self._forget_worker(now_ms)
-                self._restart_ramp(now_ms)
-            self._instance = outcome.instance
-        if call.route_class is not RouteClass.IDEMPOTENT:
-            return
+        if call.route_class is RouteClass.IDEMPOTENT:
+            self._detect_slowdown(admission, outcome.latency_ms, now_ms)
+        return crashes
+
+    def _record_instance(
+        self, instance: bytes, now_ms: float
+    ) -> tuple[CrashReport, ...]:
+        """Records which instance answered, and reports the crash of the one before."""
+        known = self._instance
+        if not instance or instance == known:
+            return ()
+        self._instance = instance
+        if not known:
+            return ()
+        self._forget_worker(now_ms)
+        self._restart_ramp(now_ms)
+        if self._listing.is_required:
+            return ()
+        suspects = self._losses.take_suspects(now_ms)
+        return self._report_suspects(suspects, now_ms)
+
+    def _detect_slowdown(
+        self, admission: Admission, latency_ms: float, now_ms: float
+    ) -> None:
         ramp = admission.ramp
-        if isinstance(ramp, ColdRateLimiter):
+        if isinstance(ramp, ColdRateLimiter) or ramp.is_cold(now_ms):
             return
-        if not ramp.is_cold(now_ms) and self._slowdown_detector.observe(
-            outcome.latency_ms
-        ):
+        if self._slowdown_detector.observe(latency_ms):
             self._restart_ramp(now_ms)
 
     def _forget_worker(self, now_ms: float) -> None:
@@ -466,12 +502,18 @@
         running = t.cast(Admission, self.admission).running
         self._crash_request_ids = frozenset(item.request_id for item in running)
         self._restart_ramp(now_ms)
-        return self._report_crashes(running, now_ms)
+        return self._report_crash(now_ms)
+
+    def _report_crash(self, now_ms: float) -> tuple[CrashReport, ...]:
+        suspects = self._losses.take_suspects(now_ms)
+        if self.admission is not None:
+            suspects += self.admission.running
+        return self._report_suspects(suspects, now_ms)
 
-    def _report_crashes(
-        self, running: t.Iterable[Call], now_ms: float
+    def _report_suspects(
+        self, suspects: t.Iterable[Call], now_ms: float
     ) -> tuple[CrashReport, ...]:
-        return self.crashes.report(self.service, self._own.name, running, now_ms)
+        return self.crashes.report(self.service, self._own.name, suspects, now_ms)
 
 
 def _is_success(outcome: Outcome) -> bool:
--- a/packages/cactushook/src/cactushook/worker_listing.py
+++ b/packages/cactushook/src/cactushook/worker_listing.py
@@ -18,6 +18,8 @@
         self.is_required = is_required
         self.current: Listing | None = None
         self.is_down = False
+        # Whether the end of the listed start is known.
+        self._has_ended = False
         self._service = service
         self._replaced_instance = ""
 
@@ -35,12 +37,30 @@
         """Returns the slots to use of those that the configuration gives."""
         return slots if self.current is None else min(slots, self.current.slots)
 
+    def mark_down(self) -> None:
+        """Records that the backend server accepts no connections."""
+        self.is_down = True
+        self._has_ended = True
+
+    def shows_crash(self, listing: Listing) -> bool:
+        """Returns whether a new listing shows a crash that is not known yet.
+
+        It does if another start of the service is listed, and the one before was not
+        listed as leaving.
+        """
+        current = self.current
+        if current is None or current.state is not HostState.LIVE or self._has_ended:
+            return False
+        is_other = _start_identity(current) != _start_identity(listing)
+        return is_other and current.service == listing.service
+
     def apply(self, listing: Listing) -> bool:
         """Sets the listing; returns whether it is that of another start."""
         is_other = _start_identity(self.current) != _start_identity(listing)
         self.current = listing
         if is_other:
             self._replaced_instance = ""
+            self._has_ended = False
         return is_other
 
     def mark_replaced(self) -> None:
