--- a/bench/memory_slopes.py
+++ b/bench/memory_slopes.py
@@ -33,7 +33,7 @@
     "httpcore",
     "pythonjsonlogger.json",
     "cactushook_node.wire",
-    "cactushook_node.main",
+    "cactushook_node.command",
 )
 
 
--- a/features/starting.feature
+++ b/features/starting.feature
@@ -29,6 +29,17 @@
     When the node starts, and the log level changes with a SIGHUP once callers can connect
     Then the node runs and has read the log level
 
+  # Guards against the same while the daemon's libraries are loaded.
+  Scenario: a node gets a SIGHUP before it has loaded its libraries
+    Given a node's settings in a file that nothing else reads
+    When the node starts, and gets a SIGHUP as soon as it loads a library
+    Then the node runs
+
+  # Guards against a longer time before SIGHUP is ignored.
+  Scenario: little is loaded before SIGHUP is ignored
+    Then the entry point of the daemon loads no library and none of its other modules
+    And the command of the deploy file starts the interpreter without its site
+
   Scenario: the generated messages are those of the definitions
     Then generating the messages again changes nothing
     And a message without its lists has lists of its own
--- a/features/steps/starting.py
+++ b/features/steps/starting.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 import unittest.mock
 
 import trio
@@ -29,16 +30,43 @@
 GENERATOR = pathlib.Path("packages/cactushook-node/generate_messages.py")
 REQUEST = b"GET /reports HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
 UNREACHED_WAIT_MS = 600_000
-LIST_LOADED = "import sys, cactushook_node.main; print(*sorted(sys.modules))"
+LIST_LOADED = "import sys, cactushook_node.{}; print(*sorted(sys.modules))"
+ENTRY_POINT = "main"
+COMMAND = "command"
+DEPLOY_FILE = pathlib.Path("deploy/system.toml")
+# A library that the daemon loads first of all, and that is mapped into memory.
+FIRST_LIBRARY = "/msgspec/"
+
+
+def list_loaded(module):
+    """Returns the modules that are loaded with one of the daemon."""
+    command = [sys.executable, "-c", LIST_LOADED.format(module)]
+    completed = subprocess.run(command, capture_output=True, check=True, text=True)
+    loaded = completed.stdout.split()
+    assert f"cactushook_node.{module}" in loaded
+    return loaded
 
 
 @then("the command of the daemon loads neither the event loop nor the node")
 def loads_little(context):
-    command = [sys.executable, "-c", LIST_LOADED]
-    loaded = subprocess.run(command, capture_output=True, check=True).stdout.split()
-    assert b"cactushook_node.main" in loaded
-    assert b"trio" not in loaded
-    assert b"cactushook_node.node" not in loaded
+    loaded = list_loaded(COMMAND)
+    assert "trio" not in loaded
+    assert "cactushook_node.node" not in loaded
+
+
+@then("the entry point of the daemon loads no library and none of its other modules")
+def loads_nothing(context):
+    loaded = list_loaded(ENTRY_POINT)
+    # The editable install of the tests is found by modules of its own.
+    ours = [name for name in loaded if name.startswith("cactushook")]
+    assert ours == ["cactushook_node", "cactushook_node.main"], ours
+    assert not {"msgspec", "argparse", "logging"} & set(loaded), loaded
+
+
+@then("the command of the deploy file starts the interpreter without its site")
+def without_site(context):
+    command = tomllib.loads(DEPLOY_FILE.read_text())["roles"]["node"]["run"]
+    assert command.startswith("python3 -S -m cactushook_node.main run "), command
 
 
 @given("an edge whose addresses are bound while its node starts")
@@ -167,13 +195,7 @@
     "the node starts, and the log level changes with a SIGHUP once callers can connect"
 )
 def hangup_while_starting(context):
-    context.log = context.file.with_suffix(".log")
-    with context.log.open("wb") as log:
-        context.process = subprocess.Popen(
-            [BIN / "cactushookd", "run", "--settings", context.file], stdout=log
-        )
-    context.resources.callback(context.process.wait)
-    context.resources.callback(context.process.kill)
+    start_daemon(context)
     ip, _, port = context.settings["public_listen"].rpartition(":")
 
     def can_connect():
@@ -185,17 +207,47 @@
     context.process.send_signal(signal.SIGHUP)
 
 
+@when("the node starts, and gets a SIGHUP as soon as it loads a library")
+def hangup_while_loading(context):
+    start_daemon(context)
+    maps = pathlib.Path(f"/proc/{context.process.pid}/maps")
+    while FIRST_LIBRARY not in maps.read_text():
+        assert context.process.poll() is None, context.process.returncode
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("the node runs")
+def node_runs(context):
+    wait_until(lambda: "started" in [line["event"] for line in log_lines(context)])
+
+
 @then("the node runs and has read the log level")
 def settings_were_read(context):
     def read_changes():
-        assert context.process.poll() is None, context.process.returncode
-        whole, _, _ = context.log.read_text().rpartition("\n")
-        lines = [json.loads(line) for line in whole.splitlines()]
+        lines = log_lines(context)
         return [line["changed"] for line in lines if line["event"] == "settings_read"]
 
     wait_until(lambda: ["log"] in read_changes())
 
 
+def start_daemon(context):
+    """Starts the daemon with the settings file and a log."""
+    context.log = context.file.with_suffix(".log")
+    with context.log.open("wb") as log:
+        context.process = subprocess.Popen(
+            [BIN / "cactushookd", "run", "--settings", context.file], stdout=log
+        )
+    context.resources.callback(context.process.wait)
+    context.resources.callback(context.process.kill)
+
+
+def log_lines(context):
+    """Returns the complete lines of the log of a daemon, which must still run."""
+    assert context.process.poll() is None, context.process.returncode
+    whole, _, _ = context.log.read_text().rpartition("\n")
+    return [json.loads(line) for line in whole.splitlines()]
+
+
 def wait_until(condition):
     """Waits until a condition holds."""
     trio.run(edge_fixtures.wait_until, condition)
