Count what was sent before a worker was known to be cold

A report that a worker is cold comes late by something, and until then its gate sends at the full rate. The limiter then began anew, so that a second had both.

Change: the limiter keeps when the latest requests were sent, as many as may be in a second, and sends none while that second is full. The wait that it expects includes this, so that a request that can't be served is refused at once.

--- a/features/overload_patterns.feature
+++ b/features/overload_patterns.feature
@@ -41,6 +41,21 @@
     Then in no second are more than 18 sent to the worker
     And after that all are admitted at once
 
+  # Guards against a second in which a worker gets requests at the full rate until its
+  # report is known, and at the cold rate for the rest of it.
+  Scenario Outline: a busy worker turns cold, and the gate learns it <lag_ms> ms later
+    Given a gate with 9 slots in front of a warm worker that handles 24 requests a second when cold
+    When 50 requests a second that take 40 ms arrive for 4 s, and it is cold from 1000 ms on, as is known <lag_ms> ms later
+    Then in no second while it is cold are more than 26 sent to the worker
+    And it was sent at least 49 in the first second and 40 in the last two
+
+    Examples:
+      | lag_ms |
+      | 0      |
+      | 100    |
+      | 300    |
+      | 500    |
+
   Scenario: power lost by all: what a cold worker cannot take returns when it is warm
     Given a gate with 3 slots in front of a worker that is cold for 3000 ms and handles 4 requests a second
     When 20 requests a second that take 5 ms arrive for 3 s
--- a/features/steps/cold_patterns.py
+++ b/features/steps/cold_patterns.py
@@ -18,6 +18,9 @@
 from features.gate_driver import request
 from features.gate_driver import START_MS
 
+TURNS_COLD_MS = START_MS + 1_000
+COLD_MS = 3_000
+
 
 def cold_gatekeeper(slots, per_s, needs_listing=True):
     own = HostRecord(name="h", address="a", domain="d", region="r", service="s")
@@ -38,15 +41,54 @@
     context.keeper.on_listing(listing, START_MS)
 
 
-@when("{rate:d} requests a second that take {service_ms:d} ms arrive for 3 s")
-def cold_load(context, rate, service_ms):
+def create_load(context, service_ms, now_ms):
+    """Returns a driver of the keeper's gate that has sent nothing yet."""
     load = GateDriver.__new__(GateDriver)
     load.gate, load.service_ms, load.now_ms = (
         context.keeper.admission,
         service_ms,
-        START_MS,
+        now_ms,
     )
     load.ends, load.arrived_ms, load.started_ms, load.refused = [], {}, {}, {}
+    return load
+
+
+@when(
+    "{rate:d} requests a second that take {service_ms:d} ms arrive for 4 s, and it is "
+    "cold from 1000 ms on, as is known {lag_ms:d} ms later"
+)
+def turns_cold(context, rate, service_ms, lag_ms):
+    load = create_load(context, service_ms, START_MS)
+    reported_ms = TURNS_COLD_MS + lag_ms
+    is_known = False
+    for _ in range(rate * 4):
+        if not is_known and load.now_ms >= reported_ms:
+            context.keeper.set_cold_remaining(COLD_MS - lag_ms, load.now_ms)
+            is_known = True
+        load.offer()
+        load.advance(load.now_ms + 1_000 / rate)
+    context.starts_ms = sorted(load.started_ms.values())
+
+
+@then("in no second while it is cold are more than {count:d} sent to the worker")
+def turned_cold_bound(context, count):
+    warm_ms = TURNS_COLD_MS + COLD_MS
+    cold = [at for at in context.starts_ms if TURNS_COLD_MS <= at < warm_ms]
+    most = max(sum(start <= at < start + 1_000 for at in cold) for start in cold)
+    assert most <= count, most
+
+
+@then("it was sent at least {warm:d} in the first second and {cold:d} in the last two")
+def sent_at_least(context, warm, cold):
+    first = [at for at in context.starts_ms if at < TURNS_COLD_MS]
+    last = [at for at in context.starts_ms if at >= TURNS_COLD_MS + 1_000]
+    assert len(first) >= warm, len(first)
+    assert len(last) >= cold, len(last)
+
+
+@when("{rate:d} requests a second that take {service_ms:d} ms arrive for 3 s")
+def cold_load(context, rate, service_ms):
+    load = create_load(context, service_ms, START_MS)
     for _ in range(rate * 3):
         load.offer()
         load.advance(load.now_ms + 1_000 / rate)
--- a/packages/cactushook/src/cactushook/ramp.py
+++ b/packages/cactushook/src/cactushook/ramp.py
@@ -1,5 +1,6 @@
 """Limits the load on a cold worker and detects when a worker turns cold."""
 
+import collections
 import math
 
 COLD_SLOTS = 1
@@ -9,6 +10,8 @@
 MIN_LEVEL_WEIGHT = 0.05
 # Requests that a cold worker may get at once.
 COLD_BURST = 2.0
+# A cold worker's requests are counted in any span of this length.
+COLD_WINDOW_MS = 1_000.0
 # How long a worker is treated as cold when it may have restarted unnoticed.
 ASSUMED_COLD_MS = 3_000.0
 
@@ -60,6 +63,9 @@
 class ColdRateLimiter:
     """Limits the request rate of a cold worker that reports how long it stays cold.
 
+    The report comes late: the worker has been cold for a moment, and has got requests
+    at the full rate. Those of the last second count towards the limit.
+
     Args:
         slots: slots of the worker.
         per_s: requests per second that the cold worker can handle.
@@ -71,6 +77,8 @@
         self._cold_until_ms = 0.0
         self._tokens = 1.0
         self._filled_ms = 0.0
+        # When the latest requests were sent, as many as may be in a second.
+        self._sent_ms: collections.deque[float] = collections.deque()
 
     def resize(self, slots: int, per_s: float) -> None:
         """Applies a change of the worker's limits."""
@@ -92,17 +100,21 @@
         """Returns the slots that may be used now."""
         if not self.is_cold(now_ms):
             return self._slots
-        return self._slots if self._refill(now_ms) >= 1 else 0
+        has_room = self._refill(now_ms) >= 1 and not self._full_for_ms(now_ms)
+        return self._slots if has_room else 0
 
     def admit(self, now_ms: float) -> None:
         """Counts a request that is sent to the worker."""
         if self.is_cold(now_ms):
             self._tokens = self._refill(now_ms) - 1
+        self._sent_ms.append(now_ms)
+        while len(self._sent_ms) > self._most_per_second:
+            self._sent_ms.popleft()
 
     def wait_ms(self, ahead: int, service_ms: float, now_ms: float) -> float:
         """Returns how long a request is expected to wait behind ``ahead`` requests."""
         if self.is_cold(now_ms):
-            return ahead / self._per_s * 1_000
+            return self._full_for_ms(now_ms) + ahead / self._per_s * 1_000
         return ahead * service_ms / self._slots
 
     def retry_after_ms(self, wait_ms: float, now_ms: float) -> float:
@@ -116,6 +128,16 @@
         """Returns whether the worker is still cold."""
         return now_ms < self._cold_until_ms
 
+    @property
+    def _most_per_second(self) -> int:
+        return max(1, math.floor(self._per_s + COLD_BURST))
+
+    def _full_for_ms(self, now_ms: float) -> float:
+        """Returns how long no request may be sent because of those sent before."""
+        if len(self._sent_ms) < self._most_per_second:
+            return 0.0
+        return max(0.0, self._sent_ms[-self._most_per_second] + COLD_WINDOW_MS - now_ms)
+
     def _refill(self, now_ms: float) -> float:
         gained = (now_ms - self._filled_ms) / 1_000 * self._per_s
         self._tokens = min(COLD_BURST, self._tokens + gained)
