--- a/packages/cactushook/src/cactushook/gatekeeping.py
+++ b/packages/cactushook/src/cactushook/gatekeeping.py
@@ -15,6 +15,7 @@
 from .calls import Listing
 from .calls import Load
 from .calls import Refusal
+from .crash_detection import CrashDetector
 from .crash_inquiry import CrashInquiry
 from .crashes import CrashReport
 from .crashes import CrashTable
@@ -38,7 +39,6 @@
 from .ramp import SlowdownDetector
 from .snapshot import Snapshot
 from .worker_listing import WorkerListing
-from .worker_losses import LISTING_LAG_MS
 from .worker_losses import WorkerLosses
 
 # A key with this many fences is not fenced again because of a cold start, since all
@@ -90,9 +90,10 @@
         self._slowdown_detector = SlowdownDetector()
         self.breaker = CircuitBreaker()
         self._losses = WorkerLosses(self.breaker)
+        self._crash_detector = CrashDetector(
+            own, self.crashes, self._listing, self._losses
+        )
         self.nested = NestedGuard()
-        self._instance = b""
-        self._crash_request_ids: frozenset[str] = frozenset()
         self._pause = PauseGuard()
         self._draining = False
         self._version = 0
@@ -179,20 +180,12 @@
         return self._domain_out
 
     def on_worker_down(self, now_ms: float) -> tuple[CrashReport, ...]:
-        """Records that the backend server accepts no connections.
-
-        Requests that it lost shortly before, requests that still run and requests that
-        it may still run after they were abandoned may have crashed it.
-        """
-        self._listing.mark_down()
-        return self._report_crash(now_ms)
+        """Records that the backend server accepts no connections."""
+        return self._crash_detector.on_worker_down(self._running, now_ms)
 
     def find_crash(self, listing: Listing, now_ms: float) -> tuple[CrashReport, ...]:
         """Reports a crash that no request noticed, if a new listing shows one."""
-        if not self._listing.shows_crash(listing):
-            return ()
-        suspects = self._losses.take_suspects(now_ms, LISTING_LAG_MS)
-        return self._report_suspects(suspects, now_ms)
+        return self._crash_detector.on_listing(listing, now_ms)
 
     @property
     def has_abandoned(self) -> bool:
@@ -451,31 +444,17 @@
         self, call: Call, outcome: Answered, now_ms: float
     ) -> tuple[CrashReport, ...]:
         admission = t.cast(Admission, self.admission)
-        crashes = self._record_instance(outcome.instance, now_ms)
+        crashes = self._crash_detector.on_answer(outcome.instance, now_ms)
+        if crashes is not None:
+            self._forget_worker(now_ms)
+            self._restart_ramp(now_ms)
         started_ms = admission.started_ms(call.request_id)
         level = admission.level(call.request_id)
         self._losses.record_answer(level, started_ms, now_ms)
         self.crashes.record_answer(call, now_ms)
         if call.route_class is RouteClass.IDEMPOTENT:
             self._detect_slowdown(admission, outcome.latency_ms, now_ms)
-        return crashes
-
-    def _record_instance(
-        self, instance: bytes, now_ms: float
-    ) -> tuple[CrashReport, ...]:
-        """Records which instance answered, and reports the crash of the one before."""
-        known = self._instance
-        if not instance or instance == known:
-            return ()
-        self._instance = instance
-        if not known:
-            return ()
-        self._forget_worker(now_ms)
-        self._restart_ramp(now_ms)
-        if self._listing.is_required:
-            return ()
-        suspects = self._losses.take_suspects(now_ms)
-        return self._report_suspects(suspects, now_ms)
+        return crashes or ()
 
     def _detect_slowdown(
         self, admission: Admission, latency_ms: float, now_ms: float
@@ -497,23 +476,14 @@
         self._slowdown_detector.reset()
 
     def _on_worker_lost(self, call: Call, now_ms: float) -> tuple[CrashReport, ...]:
-        if call.request_id in self._crash_request_ids:
-            return ()
-        running = t.cast(Admission, self.admission).running
-        self._crash_request_ids = frozenset(item.request_id for item in running)
-        self._restart_ramp(now_ms)
-        return self._report_crash(now_ms)
-
-    def _report_crash(self, now_ms: float) -> tuple[CrashReport, ...]:
-        suspects = self._losses.take_suspects(now_ms)
-        if self.admission is not None:
-            suspects += self.admission.running
-        return self._report_suspects(suspects, now_ms)
+        crashes = self._crash_detector.on_loss(call, self._running, now_ms)
+        if crashes is not None:
+            self._restart_ramp(now_ms)
+        return crashes or ()
 
-    def _report_suspects(
-        self, suspects: t.Iterable[Call], now_ms: float
-    ) -> tuple[CrashReport, ...]:
-        return self.crashes.report(self.service, self._own.name, suspects, now_ms)
+    @property
+    def _running(self) -> tuple[Call, ...]:
+        return () if self.admission is None else self.admission.running
 
 
 def _is_success(outcome: Outcome) -> bool:
