Let one reader of the store read changes at once, and send them to the others

Change: the readers have an order, by which each follows one before it as a tree with at most eight branches. Only the first one reads at once; the others pause for 500 ms as before, and know the changes from the tree meanwhile, so that their next watch waits. If the first one is silent, the next one in the order is.

--- a/features/steps/upstreams.py
+++ b/features/steps/upstreams.py
@@ -99,6 +99,48 @@
     )
 
 
+def find_first(context, but=None):
+    """Returns the readers that hold themselves for the first one."""
+    nodes = [node for node in context.nodes if node.own.address != but]
+    return [node.own.address for node in nodes if node.plan.is_first_reader]
+
+
+@then("just one reader is the first")
+def one_first(context):
+    assert len(find_first(context)) == 1, find_first(context)
+
+
+@then(
+    "every other reader gets its changes from one nearer to the first, at most "
+    "{most:d} away"
+)
+def readers_tree(context, most):
+    first = find_first(context)[0]
+    readers = [node for node in context.nodes if node.upstreams.is_reader]
+    source = {n.own.address: n.plan.follow_addresses[0] for n in readers}
+    for address in source:
+        steps = 0
+        while address != first:
+            address = source[address]
+            steps += 1
+            assert steps <= most, (address, steps)
+
+
+@when("the first reader stops answering")
+def first_silent(context):
+    context.silent = find_first(context)[0]
+
+
+@then("just one other reader is the first within {limit_ms:d} ms")
+def other_first(context, limit_ms):
+    for node in context.nodes:
+        if node.own.address != context.silent:
+            node.run(
+                limit_ms, lambda address: None if address == context.silent else True
+            )
+    assert len(find_first(context, but=context.silent)) == 1
+
+
 @then("no reader has more than {limit:d} followers that it sends changes to")
 def share_followers(context, limit):
     firsts = collections.Counter(
--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -10,6 +10,18 @@
     Given failure domains of 4, 17 and 40 hosts
     Then no reader has more than 32 followers that it sends changes to
 
+  # Guards against changes that reach the other readers only with their own next reading.
+  Scenario: the readers follow one another as a tree from the first one
+    Given failure domains of 30, 300 and 700 hosts
+    Then just one reader is the first
+    And every other reader gets its changes from one nearer to the first, at most 2 away
+    And no reader has more than 40 followers that it sends changes to
+
+  Scenario: another reader is the first when the first one stops answering
+    Given failure domains of 4, 4 and 4 hosts
+    When the first reader stops answering
+    Then just one other reader is the first within 1300 ms
+
   Scenario: a node leaves a silent upstream before changes arrive too late
     Given a node that follows two readers
     When its first reader stops answering
--- a/packages/cactushook-node/src/cactushook_node/replication.py
+++ b/packages/cactushook-node/src/cactushook_node/replication.py
@@ -186,6 +186,7 @@
         upstreams = self._change_feed.upstreams
         plan = upstreams.plan(now_ms)
         self._reader.is_reader = upstreams.is_reader
+        self._reader.is_first_reader = plan.is_first_reader
         self._reader.set_enabled(plan.should_read_store)
         self._change_feed.renew_subscriptions(plan.follow_addresses, now_ms)
         self._confirmation_monitor.update(now_ms)
--- a/packages/cactushook-node/src/cactushook_node/store_reader.py
+++ b/packages/cactushook-node/src/cactushook_node/store_reader.py
@@ -18,9 +18,10 @@
 # other nodes retry rarely to spare the store.
 READER_MAX_BACKOFF_MS = 800.0
 OTHERS_MAX_BACKOFF_MS = 3_000.0
-# Readings with changes per second: many changes in quick succession need only one call.
-# The first ones are read at once.
-CHANGES_PER_S = 2.0
+# Pause after a reading with changes; changes in quick succession need only one call.
+WATCH_PAUSE_MS = 500.0
+# Changes that the first reader reads at once before it pauses. The other readers get
+# them from it.
 CHANGES_BURST = 5
 # A waiting watch receives nothing; a probe checks whether its path still works.
 PROBE_PERIOD_MS = 400.0
@@ -59,6 +60,7 @@
         on_outage: t.Callable[[str], None],
     ) -> None:
         self.is_reader = True
+        self.is_first_reader = False
         self._environment = environment
         self._source = source
         self._position = position
@@ -79,7 +81,9 @@
         self._max_position_check_ms = min(MAX_POSITION_CHECK_MS, bound_ms)
         self._position_check_ms = self._min_position_check_ms
         self._is_watch_suspected = False
-        self._changes = TokenBucket(CHANGES_PER_S, CHANGES_BURST, environment.now_ms())
+        self._changes = TokenBucket(
+            1_000 / WATCH_PAUSE_MS, CHANGES_BURST, environment.now_ms()
+        )
         self._synced_ms = float("-inf")
 
     @property
@@ -147,6 +151,9 @@
             await self._pause_after_changes()
 
     async def _pause_after_changes(self) -> None:
+        if not self.is_first_reader:
+            await trio.sleep(WATCH_PAUSE_MS / 1_000)
+            return
         while not self._changes.take(self._environment.now_ms()):
             wait_ms = self._changes.wait_ms(self._environment.now_ms())
             await trio.sleep(wait_ms / 1_000)
--- a/packages/cactushook/src/cactushook/upstreams.py
+++ b/packages/cactushook/src/cactushook/upstreams.py
@@ -2,6 +2,9 @@
 
 A few readers in each failure domain watch the store; every other node follows two of
 them. A node to which no up-to-date reader reports reads the store itself.
+
+The readers have an order, by which they follow one another as a tree. The first one
+reads changes sooner than the others and sends them along the tree.
 """
 
 import dataclasses
@@ -15,6 +18,8 @@
 HOSTS_PER_READER = 32
 # The first upstream sends changes; the second one only reports that there are some.
 MAX_FOLLOWED = 2
+# Readers that follow the same reader in the readers' tree.
+READER_FANOUT = 8
 # Silence after which an upstream no longer counts as up to date. Together with the
 # switch to the next one, it stays below the time in which a change must be in force.
 STALE_MS = 1_200.0
@@ -36,10 +41,12 @@
 
     Attributes:
         should_read_store: whether it watches the store.
+        is_first_reader: whether it is the first of the readers that are up to date.
         follow_addresses: addresses of the nodes that it follows, best first.
     """
 
     should_read_store: bool
+    is_first_reader: bool
     follow_addresses: tuple[str, ...]
 
 
@@ -72,6 +79,8 @@
         self._rng = rng
         self._candidates = tuple(s for s in self._seeds if s != own.address)
         self._is_reader = own.address in self._seeds
+        # The readers before this one in their order; None if it is no elected reader.
+        self._readers_above: tuple[str, ...] | None = None
         self._live_addresses: dict[str, tuple[str, str]] = {}
         self._domains: dict[str, str] = {}
         self._upstreams: dict[str, _Upstream] = {}
@@ -86,10 +95,10 @@
     def update_hosts(self, hosts: t.Iterable[HostRecord]) -> None:
         """Elects readers from a host list; one without live hosts is ignored."""
         live = {h.name: h for h in hosts if h.state is HostState.LIVE}
-        addresses = {name: (h.domain, h.address) for name, h in live.items()}
-        if not live or addresses == self._live_addresses:
+        live_addresses = {name: (h.domain, h.address) for name, h in live.items()}
+        if not live or live_addresses == self._live_addresses:
             return
-        self._live_addresses = addresses
+        self._live_addresses = live_addresses
         domains: dict[str, list[HostRecord]] = {}
         for host in live.values():
             domains.setdefault(host.domain, []).append(host)
@@ -103,7 +112,15 @@
         self._domains = others
         ranked = hashing.rank_by_weight(f"follow/{self._own.name}", others)
         # Sorting is stable: within a failure domain the ranking holds.
-        self._candidates = tuple(sorted(ranked, key=self._is_remote))
+        ranked.sort(key=self._is_remote)
+        self._readers_above = None
+        if self._is_reader:
+            addresses = {r.name: r.address for r in readers}
+            order = hashing.rank_by_weight("readers", addresses)
+            above = _find_above(order, self._own.name)
+            self._readers_above = tuple(addresses[name] for name in above)
+        above = self._readers_above or ()
+        self._candidates = (*above, *(a for a in ranked if a not in above))
 
     def on_upstream_status(self, address: str, fresh: bool, now_ms: float) -> None:
         """Records whether a followed node reports its copy as up to date."""
@@ -137,7 +154,11 @@
         if self.is_fresh(now_ms):
             self._self_read_from_ms = now_ms + SELF_READ_DELAY_MS + self._spread_ms()
         should_read = self._is_reader or now_ms >= self._self_read_from_ms
-        return Plan(should_read, self._followed)
+        return Plan(should_read, self._is_first_reader(now_ms), self._followed)
+
+    def _is_first_reader(self, now_ms: float) -> bool:
+        above = self._readers_above
+        return above is not None and all(self._is_skipped(a, now_ms) for a in above)
 
     def _skip_silent(self, now_ms: float) -> None:
         for address in self._followed:
@@ -184,4 +205,14 @@
     return [by_name[name] for name in ranked[:count]]
 
 
+def _find_above(order: t.Sequence[str], name: str) -> tuple[str, ...]:
+    """Returns the readers before one in their order, the path to the root first."""
+    own_index = index = order.index(name)
+    path = []
+    while index:
+        index = (index - 1) // READER_FANOUT
+        path.append(order[index])
+    return (*path, *(other for other in order[:own_index] if other not in path))
+
+
 __all__ = ["Plan", "Upstreams"]
