--- a/features/upstreams.feature
+++ b/features/upstreams.feature
@@ -17,6 +17,7 @@
     And every other reader gets its changes from one nearer to the first, at most 2 away
     And no reader has more than 40 followers that it sends changes to
 
+  # Guards against a fleet that reads all changes with a pause once its first reader is gone.
   Scenario: another reader is the first when the first one stops answering
     Given failure domains of 4, 4 and 4 hosts
     When the first reader stops answering
